Add the design, error kinds, messages, transport and test runner

Cause: the repository was empty; every subpackage needs the same error kinds, typed messages and signed transport before it can be written. Change: docs/design.md with the decisions and interfaces; the closed list of error kinds; messages; HTTP transport with HMAC signatures; settings model; a test runner that ends with "N passed, N failed". Conclusion: the interfaces are in place for the subpackages.

--- /dev/null
+++ b/chivescale/errors/tests/steps/error_steps.py
@@ -0,0 +1,29 @@
+"""Steps for the table of error kinds."""
+
+from behave import then, when
+
+from chivescale.errors import KIND_TABLE, ErrorKind, Failure
+
+
+@then("every error kind has exactly one row in the table")
+def every_kind_has_a_row(context):
+    assert set(KIND_TABLE) == set(ErrorKind)
+    assert all(len(row.sqlstate) == 5 for row in KIND_TABLE.values())
+
+
+@when("a request fails with {kind}")
+def request_fails(context, kind):
+    context.failure = Failure(ErrorKind(kind), "test")
+
+
+@then("the caller is told may_have_run {ran} and may_repeat {repeat}")
+def caller_is_told(context, ran, repeat):
+    assert context.failure.may_have_run == (ran == "yes")
+    assert context.failure.may_repeat == (repeat == "yes")
+
+
+@then("no kind that may have run may be repeated")
+def in_doubt_is_not_repeatable(context):
+    rows = KIND_TABLE.items()
+    wrong = [kind for kind, row in rows if row.may_have_run and row.may_repeat]
+    assert not wrong, wrong
--- /dev/null
+++ b/chivescale/settings/_model.py
@@ -0,0 +1,139 @@
+"""Settings with their units and defaults."""
+
+import msgspec
+
+
+class HostSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Identity of the process.
+
+    Attributes
+    ----------
+    name : str
+        Unique name of the host.
+    zone : str
+        Availability zone.
+    roles : tuple of str
+        ``entry``, ``control`` or both.
+    data_dir : str
+        Folder of the durable state; required for ``control``.
+    """
+
+    name: str
+    zone: str
+    roles: tuple[str, ...] = ("entry",)
+    data_dir: str = ""
+
+
+class ListenSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Addresses as ``ip:port``; an empty one is not served.
+
+    With both roles, `control_api` serves the control role and `api` the
+    entry role.
+    """
+
+    api: str = ""
+    control_api: str = ""
+    mysql: str = ""
+    metrics: str = ""
+
+
+class ControlMember(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A control host as every process knows it."""
+
+    name: str
+    address: str
+
+
+class ClusterSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What all processes share.
+
+    Attributes
+    ----------
+    secret_file : str
+        File with the secret that signs messages between processes.
+    control : tuple of ControlMember
+        Initial control hosts.
+    endpoint_user, endpoint_secret_file : str
+        Account with which entry hosts log in to endpoints.
+    """
+
+    secret_file: str
+    control: tuple[ControlMember, ...]
+    endpoint_user: str = "chivescale"
+    endpoint_secret_file: str = ""
+
+
+class TlsSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Certificates; an empty name turns TLS off for that port."""
+
+    caller_certificate: str = ""
+    caller_key: str = ""
+    api_certificate: str = ""
+    api_key: str = ""
+    api_ca: str = ""
+
+
+class AgreementSettings(
+    msgspec.Struct, frozen=True, forbid_unknown_fields=True
+):
+    """Timing of the control log."""
+
+    heartbeat_ms: int = 50
+    election_timeout_ms: int = 250
+    snapshot_entries: int = 1000
+
+
+class FailoverSettings(
+    msgspec.Struct, frozen=True, forbid_unknown_fields=True
+):
+    """Failure detection and promotion.
+
+    `silence_floor_ms` stays above 300 ms because pauses up to that length
+    are normal and must not cause a promotion.
+    """
+
+    watchers: int = 3
+    probe_interval_ms: int = 100
+    silence_floor_ms: int = 350
+    promise_timeout_ms: int = 300
+    attempt_timeout_ms: int = 1500
+
+
+class EntrySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Behaviour of an entry host towards callers."""
+
+    deadline_ms: int = 5000
+    heartbeat_ms: int = 1000
+    watch_wait_ms: int = 10000
+    barrier_timeout_ms: int = 500
+    drain_timeout_s: float = 30.0
+    start_grace_s: float = 5.0
+    max_callers: int = 4000
+    max_statement_bytes: int = 1 << 20
+    retry_ratio: float = 0.1
+
+
+class PoolSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Connections to endpoints."""
+
+    floor_connections: int = 1
+    idle_s: float = 30.0
+    connect_timeout_ms: int = 500
+    silence_timeout_ms: int = 1000
+
+
+class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """All settings of one process."""
+
+    host: HostSettings
+    listen: ListenSettings
+    cluster: ClusterSettings
+    tls: TlsSettings = msgspec.field(default_factory=TlsSettings)
+    agreement: AgreementSettings = msgspec.field(
+        default_factory=AgreementSettings
+    )
+    failover: FailoverSettings = msgspec.field(
+        default_factory=FailoverSettings
+    )
+    entry: EntrySettings = msgspec.field(default_factory=EntrySettings)
+    pool: PoolSettings = msgspec.field(default_factory=PoolSettings)
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Developer commands behind the Makefile."""
