Add the MySQL protocol adapter for callers and endpoints

mysql-mimic answers without counts or positions, reads packets without a limit, loops on unterminated strings and substitutes unescaped values into prepared statements. The adapter keeps its framing, constants and authentication plugin and replaces the command loop and those parsers.

--- /dev/null
+++ b/chivescale/mysql/_stream.py
@@ -0,0 +1,170 @@
+"""Byte streams of the caller side."""
+
+import asyncio
+import collections.abc
+import socket
+
+from mysql_mimic.stream import MysqlStream
+
+from chivescale.mysql._packets import MalformedPacket
+
+HEADER_BYTES = 4
+MAX_FRAME_BYTES = 0xFFFFFF
+READ_BUFFER_BYTES = 1 << 16
+# Enough for user, scramble, database and connection attributes.
+MAX_HANDSHAKE_BYTES = 1 << 16
+
+
+class ConnectionEnded(Exception):
+    """The caller closed the connection between two packets."""
+
+
+class PacketTooLarge(Exception):
+    """A command exceeds the limit."""
+
+
+class WatchedReader(asyncio.StreamReader):
+    """Reader that tells at once when the peer closes the connection.
+
+    While a statement runs nobody reads, so the end of the stream would
+    otherwise go unnoticed.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop):
+        super().__init__(limit=READ_BUFFER_BYTES, loop=loop)
+        self.on_end: collections.abc.Callable[[], None] | None = None
+
+    def feed_eof(self) -> None:
+        super().feed_eof()
+        if self.on_end is not None:
+            self.on_end()
+
+    def set_exception(self, exc: Exception) -> None:
+        super().set_exception(exc)
+        if self.on_end is not None:
+            self.on_end()
+
+
+class PacketStream:
+    """Packets with a size limit and checked sequence numbers.
+
+    The library's stream reads without a limit, so only its framing of
+    answers is used.
+
+    Parameters
+    ----------
+    reader, writer
+        Streams of the connection.
+    sequence : int
+        Number that the next packet must have.
+    limit : int
+        Largest command, in bytes.
+    write_s : float
+        Limit for one answer.
+    """
+
+    def __init__(self, reader, writer, sequence: int, limit: int, write_s):
+        self.reader = reader
+        self.writer = writer
+        self.framing = MysqlStream(reader, writer)
+        self.framing.seq.value = sequence
+        self.limit = limit
+        self.write_s = write_s
+
+    async def read(self) -> bytes:
+        """Return the next packet.
+
+        Raises
+        ------
+        ConnectionEnded
+            If the stream ends, also inside a packet.
+        PacketTooLarge, MalformedPacket
+            If the packet breaks the limit or the protocol.
+        """
+        data = b""
+        while True:
+            try:
+                header = await self.reader.readexactly(HEADER_BYTES)
+                size = int.from_bytes(header[:3], "little")
+                if header[3] != next(self.framing.seq):
+                    raise MalformedPacket("packets out of order")
+                if len(data) + size > self.limit:
+                    await self._discard(size)
+                    raise PacketTooLarge()
+                data += await self.reader.readexactly(size)
+            except (asyncio.IncompleteReadError, OSError) as err:
+                raise ConnectionEnded() from err
+            if size < MAX_FRAME_BYTES:
+                return data
+
+    async def _discard(self, size: int) -> None:
+        """Read past a refused packet.
+
+        Closing with unread data would reset the connection, and the error
+        packet could be lost with it.
+        """
+        try:
+            async with asyncio.timeout(1.0):
+                while size > 0:
+                    part = await self.reader.read(min(size, READ_BUFFER_BYTES))
+                    size = size - len(part) if part else 0
+        except TimeoutError:
+            return
+
+    def start_command(self) -> None:
+        """Expect the first packet of a new command."""
+        self.framing.reset_seq()
+
+    async def send(self, packets: list[bytes]) -> None:
+        """Write packets and wait until the transport took them."""
+        async with asyncio.timeout(self.write_s):
+            self.buffer(packets)
+            await self.framing.drain()
+
+    def buffer(self, packets: list[bytes]) -> None:
+        """Frame packets without writing them yet."""
+        for packet in packets:
+            if len(packet) >= MAX_FRAME_BYTES:
+                raise ValueError("answer packet over 16 MiB")
+        self.framing.write_many(packets)
+
+    async def flush(self) -> None:
+        """Write what is buffered."""
+        async with asyncio.timeout(self.write_s):
+            await self.framing.drain()
+
+    def close(self, abort: bool = False) -> None:
+        """Close the connection, at once and without a flush on `abort`."""
+        if abort:
+            self.writer.transport.abort()
+        else:
+            self.writer.close()
+
+
+def frame(sequence: int, payload: bytes) -> bytes:
+    """Return one packet with its header."""
+    return len(payload).to_bytes(3, "little") + bytes((sequence,)) + payload
+
+
+async def receive_packet(sock: socket.socket, sequence: int) -> bytes:
+    """Read exactly one packet from a socket.
+
+    The answer to the greeting is read this way because the bytes after it
+    may already belong to the TLS handshake.
+    """
+    header = await _receive(sock, HEADER_BYTES)
+    size = int.from_bytes(header[:3], "little")
+    if header[3] != sequence or size > MAX_HANDSHAKE_BYTES:
+        raise MalformedPacket("invalid handshake packet")
+    return await _receive(sock, size)
+
+
+async def _receive(sock: socket.socket, size: int) -> bytes:
+    loop = asyncio.get_running_loop()
+    data = b""
+    while len(data) < size:
+        part = await loop.sock_recv(sock, size - len(data))
+        if not part:
+            raise ConnectionEnded()
+        data += part
+    return data
