Add the sheet: parse, digest, diff and format

The desired state arrives as one CSV file. It is parsed completely or refused with row, column and reason of every defect up to a bound; the digest covers the normalised content, so row and column order and number formats do not change it.

--- /dev/null
+++ b/chivescale/sheet/__init__.py
@@ -0,0 +1,32 @@
+"""The sheet: the complete desired state as a CSV file."""
+
+from chivescale.sheet._diff import Change, diff
+from chivescale.sheet._format import format_sheet
+from chivescale.sheet._model import (
+    COLUMNS,
+    Defect,
+    Sheet,
+    digest,
+    make_sheet,
+)
+from chivescale.sheet._parse import (
+    MAX_SHEET_BYTES,
+    MAX_SHEET_ROWS,
+    check_sheet,
+    parse_sheet,
+)
+
+__all__ = [
+    "COLUMNS",
+    "MAX_SHEET_BYTES",
+    "MAX_SHEET_ROWS",
+    "Change",
+    "Defect",
+    "Sheet",
+    "check_sheet",
+    "diff",
+    "digest",
+    "format_sheet",
+    "make_sheet",
+    "parse_sheet",
+]
