--- a/chivescale/telemetry/_log.py
+++ b/chivescale/telemetry/_log.py
@@ -23,16 +23,23 @@
         Values; those with spaces, quotes or line breaks are quoted.
     """
     pairs = [f"event={event}"]
-    pairs += [f"{key}={_text(value)}" for key, value in fields.items()]
+    pairs += [f"{key}={quote_value(value)}" for key, value in fields.items()]
     logging.log(_LEVELS[level], "%s", " ".join(pairs))
 
 
-def _text(value: object) -> str:
+def quote_value(value: object) -> str:
+    """Return a value for a log line, quoted if it needs to be."""
     if isinstance(value, float):
         return f"{value:.6g}"
     text = str(value)
-    if text and not any(char in text for char in ' "\n\r\t='):
+    if text and text.isprintable() and not any(c in text for c in ' "='):
         return text
     escaped = text.replace("\\", "\\\\").replace('"', '\\"')
     escaped = escaped.replace("\n", "\\n").replace("\r", "\\r")
+    if not escaped.isprintable():
+        escaped = "".join(map(_printable, escaped))
     return f'"{escaped}"'
+
+
+def _printable(char: str) -> str:
+    return char if char.isprintable() else ascii(char)[1:-1]
--- /dev/null
+++ b/chivescale/telemetry/_setup.py
@@ -0,0 +1,64 @@
+"""Log format of the daemons."""
+
+import logging
+import time
+
+from absl import flags
+from absl import logging as absl_logging
+
+from chivescale.telemetry._log import quote_value
+
+LEVELS = ("debug", "info", "warning", "error")
+
+
+def setup_logging(process: str, level: str = "info") -> None:
+    """Write every log record to standard error as one line.
+
+    A line starts with time (UTC), level and process name. Records of the
+    standard logging module, for example those of asyncio, take the same
+    way as ``event=log``.
+
+    Parameters
+    ----------
+    process : str
+        Name in each line.
+    level : {"debug", "info", "warning", "error"}
+        Lowest level that is written.
+    """
+    # absl prints a warning for each process that logs with unparsed flags;
+    # the daemons have no absl flags.
+    flags.FLAGS.mark_as_parsed()
+    absl_logging.set_verbosity(level)
+    absl_logging.use_absl_handler()
+    handler = absl_logging.get_absl_handler()
+    handler.python_handler.setFormatter(LineFormatter(process))
+    logging.getLogger().setLevel(level.upper())
+    logging.captureWarnings(True)
+
+
+class LineFormatter(logging.Formatter):
+    """Formats a record as one line of key=value pairs."""
+
+    def __init__(self, process: str):
+        super().__init__()
+        self.process = quote_value(process)
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Return the line without its line break."""
+        seconds = time.strftime(
+            "%Y-%m-%dT%H:%M:%S", time.gmtime(record.created)
+        )
+        message = record.getMessage()
+        if not message.startswith("event="):
+            message = (
+                f"event=log logger={quote_value(record.name)} "
+                f"message={quote_value(message)}"
+            )
+        if record.exc_info:
+            trace = self.formatException(record.exc_info)
+            message += f" trace={quote_value(trace)}"
+        return (
+            f"time={seconds}.{int(record.msecs):03d}Z "
+            f"level={record.levelname.lower()} process={self.process} "
+            f"{message}"
+        )
