--- a/chivescale/messages/_cluster.py
+++ b/chivescale/messages/_cluster.py
@@ -247,10 +247,22 @@
 
 
 class HeartbeatReply(msgspec.Struct, frozen=True):
-    """Answer of the control leader to a heartbeat."""
+    """Answer of the control leader to a heartbeat.
+
+    Attributes
+    ----------
+    leases : tuple of Lease
+        Connections that the host may hold.
+    lease_ms : int
+        How long the leases last.
+    index : int
+        Log index applied on the leader; a host far behind it renews its
+        watch on a fresh connection.
+    """
 
     leases: tuple[Lease, ...] = ()
     lease_ms: int = 3000
+    index: int = 0
 
 
 class Announcement(msgspec.Struct, frozen=True):
--- a/chivescale/settings/_model.py
+++ b/chivescale/settings/_model.py
@@ -100,14 +100,19 @@
 
 
 class EntrySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Behaviour of an entry host towards callers."""
+    """Behaviour of an entry host towards callers.
+
+    `watch_wait_ms` is short because a watch whose connection went silent is
+    noticed only when it ends, and changes must be in force within 4 s.
+    """
 
     deadline_ms: int = 5000
     heartbeat_ms: int = 1000
-    watch_wait_ms: int = 10000
+    watch_wait_ms: int = 2000
     barrier_timeout_ms: int = 500
     drain_timeout_s: float = 30.0
     start_grace_s: float = 5.0
+    transaction_idle_s: float = 60.0
     max_callers: int = 4000
     max_statement_bytes: int = 1 << 20
     retry_ratio: float = 0.1
