--- a/chivescale/messages/__init__.py
+++ b/chivescale/messages/__init__.py
@@ -39,6 +39,7 @@
     PromoteReply,
     TermStart,
 )
+from chivescale.messages._status import MemberStatus, Status
 
 __all__ = [
     "AcceptSheet",
@@ -57,6 +58,7 @@
     "HostRecord",
     "Lease",
     "LeaveEndpoint",
+    "MemberStatus",
     "Position",
     "Promise",
     "PromiseReply",
@@ -71,6 +73,7 @@
     "SheetAnswer",
     "SheetRecord",
     "SheetUpload",
+    "Status",
     "Suspicion",
     "TermStart",
     "WatchReply",
