Validate all settings at start

Every wrong key gives one line 'file: key: reason': types, ranges, addresses, clashes, files and relations between values. Each key is converted on its own because msgspec stops at the first error.

--- a/chivescale/settings/__init__.py
+++ b/chivescale/settings/__init__.py
@@ -1,5 +1,6 @@
 """Settings of a process, read from TOML and validated once at start."""
 
+from chivescale.settings._files import read_secret
 from chivescale.settings._load import load_settings, parse_settings
 from chivescale.settings._model import (
     AgreementSettings,
@@ -13,6 +14,7 @@
     Settings,
     TlsSettings,
 )
+from chivescale.settings._rules import control_address, parse_address
 
 __all__ = [
     "AgreementSettings",
@@ -25,6 +27,9 @@
     "PoolSettings",
     "Settings",
     "TlsSettings",
+    "control_address",
     "load_settings",
+    "parse_address",
     "parse_settings",
+    "read_secret",
 ]
--- /dev/null
+++ b/chivescale/settings/_files.py
@@ -0,0 +1,96 @@
+"""Files that settings name."""
+
+import collections.abc
+import pathlib
+
+import msgspec
+
+from chivescale.errors import ErrorKind, Failure
+from chivescale.settings._model import Settings
+
+# Shorter secrets can be found by trying out signatures.
+MIN_SECRET_BYTES = 16
+MIN_ENDPOINT_SECRET_BYTES = 8
+MAX_SECRET_BYTES = 4096
+
+# Settings that hold a file name, by section.
+FILE_KEYS = {
+    "host": ("data_dir",),
+    "cluster": ("secret_file", "endpoint_secret_file"),
+    "tls": (
+        "caller_certificate",
+        "caller_key",
+        "api_certificate",
+        "api_key",
+        "api_ca",
+    ),
+}
+
+
+def read_secret(path: str, minimum: int = MIN_SECRET_BYTES) -> bytes | Failure:
+    """Read a secret file; white space at both ends does not count.
+
+    Returns
+    -------
+    secret or Failure
+        ``SETTINGS_INVALID`` if it cannot be read or has a wrong length.
+    """
+    try:
+        with open(path, "rb") as file:
+            content = file.read(MAX_SECRET_BYTES + 1)
+    except (OSError, ValueError) as err:
+        reason = f"{path}: {getattr(err, 'strerror', None) or err}"
+        return Failure(ErrorKind.SETTINGS_INVALID, reason)
+    secret = content.strip()
+    if not minimum <= len(secret) <= MAX_SECRET_BYTES:
+        reason = (
+            f"{path}: {len(secret)} bytes, expected {minimum} to "
+            f"{MAX_SECRET_BYTES}"
+        )
+        return Failure(ErrorKind.SETTINGS_INVALID, reason)
+    return secret
+
+
+def resolve_files(settings: Settings, folder: pathlib.Path) -> Settings:
+    """Return settings whose file names are absolute."""
+    changes = {}
+    for section, keys in FILE_KEYS.items():
+        part = getattr(settings, section)
+        names = {
+            key: str(folder / getattr(part, key))
+            for key in keys
+            if getattr(part, key)
+        }
+        changes[section] = msgspec.structs.replace(part, **names)
+    return msgspec.structs.replace(settings, **changes)
+
+
+def check_files(settings: Settings) -> list[str]:
+    """Return ``key: reason`` for each file that cannot be used."""
+    return [*_check_secrets(settings), *_check_certificates(settings)]
+
+
+def _check_secrets(settings: Settings) -> collections.abc.Iterator[str]:
+    cluster = settings.cluster
+    secret = read_secret(cluster.secret_file)
+    if isinstance(secret, Failure):
+        yield f"cluster.secret_file: {secret.reason}"
+    if cluster.endpoint_secret_file:
+        secret = read_secret(
+            cluster.endpoint_secret_file, MIN_ENDPOINT_SECRET_BYTES
+        )
+        if isinstance(secret, Failure):
+            yield f"cluster.endpoint_secret_file: {secret.reason}"
+
+
+def _check_certificates(settings: Settings) -> collections.abc.Iterator[str]:
+    for key in FILE_KEYS["tls"]:
+        path = getattr(settings.tls, key)
+        if not path:
+            continue
+        try:
+            with open(path, "rb") as file:
+                file.read(1)
+        except (OSError, ValueError) as err:
+            reason = getattr(err, "strerror", None) or err
+            yield f"tls.{key}: {path}: {reason}"
--- a/chivescale/settings/_load.py
+++ b/chivescale/settings/_load.py
@@ -3,35 +3,73 @@
 import pathlib
 import tomllib
 
-import msgspec
-
 from chivescale.errors import ErrorKind, Failure
+from chivescale.settings._convert import convert_settings
+from chivescale.settings._files import check_files, resolve_files
 from chivescale.settings._model import Settings
+from chivescale.settings._rules import check_rules
 
 
 def load_settings(path: str | pathlib.Path) -> Settings | Failure:
-    """Read settings from a file.
+    """Read settings from a file and check the files that they name.
 
     Parameters
     ----------
     path : str or Path
-        TOML file.
+        TOML file. Relative file names in it are relative to its folder.
 
     Returns
     -------
     settings or Failure
-        ``SETTINGS_INVALID`` with file, key and reason in one line.
+        ``SETTINGS_INVALID`` with one line ``file: key: reason`` for each
+        error.
     """
+    path = pathlib.Path(path)
     try:
-        text = pathlib.Path(path).read_text(encoding="utf-8")
+        text = path.read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as err:
-        return Failure(ErrorKind.SETTINGS_INVALID, f"{path}: {err}")
-    return parse_settings(text, str(path))
+        return _failure([f"{path}: {_plain(err)}"])
+    settings = parse_settings(text, str(path))
+    if isinstance(settings, Failure):
+        return settings
+    settings = resolve_files(settings, path.resolve().parent)
+    errors = check_files(settings)
+    if errors:
+        return _failure(f"{path}: {error}" for error in errors)
+    return settings
 
 
 def parse_settings(text: str, origin: str = "settings") -> Settings | Failure:
-    """Parse and validate settings; `origin` names them in errors."""
+    """Parse and validate settings without touching any file.
+
+    Parameters
+    ----------
+    text : str
+        TOML.
+    origin : str, optional
+        Name of the text in errors.
+
+    Returns
+    -------
+    settings or Failure
+        ``SETTINGS_INVALID`` with one line ``origin: key: reason`` for each
+        error.
+    """
     try:
-        return msgspec.convert(tomllib.loads(text), Settings)
-    except (tomllib.TOMLDecodeError, msgspec.ValidationError) as err:
-        return Failure(ErrorKind.SETTINGS_INVALID, f"{origin}: {err}")
+        tables = tomllib.loads(text)
+    except (tomllib.TOMLDecodeError, RecursionError) as err:
+        return _failure([f"{origin}: not TOML: {_plain(err)}"])
+    settings, errors = convert_settings(tables)
+    if settings is not None:
+        errors = check_rules(settings)
+    if settings is None or errors:
+        return _failure(f"{origin}: {error}" for error in errors)
+    return settings
+
+
+def _failure(lines) -> Failure:
+    return Failure(ErrorKind.SETTINGS_INVALID, "\n".join(lines))
+
+
+def _plain(err: Exception) -> str:
+    return str(getattr(err, "strerror", None) or err).replace("\n", " ")
--- a/chivescale/settings/_model.py
+++ b/chivescale/settings/_model.py
@@ -16,12 +16,15 @@
         ``entry``, ``control`` or both.
     data_dir : str
         Folder of the durable state; required for ``control``.
+    log_level : str
+        ``debug``, ``info``, ``warning`` or ``error``.
     """
 
     name: str
     zone: str
     roles: tuple[str, ...] = ("entry",)
     data_dir: str = ""
+    log_level: str = "info"
 
 
 class ListenSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
