--- /dev/null
+++ b/chivescale/daemon/_run.py
@@ -0,0 +1,129 @@
+"""Start, signals and graceful shutdown of a host."""
+
+import asyncio
+import os
+import signal
+import typing
+
+from chivescale.errors import ErrorKind, Failure, is_failure
+from chivescale.settings import Settings
+from chivescale.telemetry import Metrics, log_event
+
+SIGNALS = (signal.SIGTERM, signal.SIGINT)
+# A host whose own shutdown hangs must still end.
+STOP_TIMEOUT_S = 5.0
+DRAIN_MARGIN_S = 1.0
+EXIT_SECOND_SIGNAL = 1
+
+
+async def run(settings: Settings, secret: bytes) -> bool | Failure:
+    """Run the roles of the settings until a signal arrives.
+
+    Returns
+    -------
+    bool or Failure
+        Whether the shutdown was graceful, or why the host did not start.
+    """
+    stopping = asyncio.Event()
+    _watch_signals(stopping)
+    asyncio.get_running_loop().set_exception_handler(_log_exception)
+    metrics = Metrics(settings.listen.metrics)
+    hosts = _make_hosts(settings, secret, metrics)
+    started: list[typing.Any] = []
+    for host in [metrics, *hosts]:
+        failure = await _start(host)
+        if failure is not None:
+            await _stop_all(started)
+            return failure
+        started.append(host)
+    log_event("started", roles=",".join(settings.host.roles))
+    await stopping.wait()
+    drained = await _drain(hosts, settings.entry.drain_timeout_s)
+    stopped = await _stop_all(started)
+    log_event("stopped", graceful=drained and stopped)
+    return drained and stopped
+
+
+def _make_hosts(settings: Settings, secret: bytes, metrics: Metrics) -> list:
+    """Build the hosts in the order in which they start.
+
+    A process without a role does not load the modules of that role, which
+    keeps its memory small.
+    """
+    hosts: list[typing.Any] = []
+    if "control" in settings.host.roles:
+        from chivescale.control import ControlHost
+
+        hosts.append(ControlHost(settings, secret, metrics))
+    if "entry" in settings.host.roles:
+        from chivescale.entry import EntryHost
+
+        hosts.append(EntryHost(settings, secret, metrics))
+    return hosts
+
+
+async def _start(host: typing.Any) -> Failure | None:
+    try:
+        outcome = await host.start()
+    except OSError as err:  # an address in use, an unusable folder
+        return Failure(ErrorKind.SETTINGS_INVALID, _plain(err))
+    return outcome if is_failure(outcome) else None
+
+
+async def _drain(hosts: list, timeout_s: float) -> bool:
+    """Drain the hosts that serve callers; tell whether it was in time."""
+    drains = [host.drain() for host in hosts if hasattr(host, "drain")]
+    if not drains:
+        return True
+    log_event("draining", timeout_s=timeout_s)
+    try:
+        # The host bounds its own drain; this is for one that hangs.
+        async with asyncio.timeout(timeout_s + DRAIN_MARGIN_S):
+            await asyncio.gather(*drains)
+    except TimeoutError:
+        log_event("drain_cut_short", "warning", timeout_s=timeout_s)
+        return False
+    return True
+
+
+async def _stop_all(started: list) -> bool:
+    """Stop in the opposite order of the start."""
+    graceful = True
+    for host in reversed(started):
+        try:
+            async with asyncio.timeout(STOP_TIMEOUT_S):
+                await host.stop()
+        except TimeoutError:
+            name = type(host).__name__
+            log_event("stop_cut_short", "warning", part=name)
+            graceful = False
+    return graceful
+
+
+def _watch_signals(stopping: asyncio.Event) -> None:
+    loop = asyncio.get_running_loop()
+
+    def handle(name: str) -> None:
+        if stopping.is_set():
+            log_event("second_signal", "warning", signal=name)
+            # Not sys.exit: cancelled tasks could delay the end again.
+            os._exit(EXIT_SECOND_SIGNAL)
+        log_event("signal", signal=name)
+        stopping.set()
+
+    for number in SIGNALS:
+        loop.add_signal_handler(number, handle, number.name)
+
+
+def _log_exception(_loop, context: dict) -> None:
+    log_event(
+        "task_error",
+        "error",
+        message=context.get("message", ""),
+        error=repr(context.get("exception")),
+    )
+
+
+def _plain(err: OSError) -> str:
+    text = err.strerror or str(err)
+    return f"{err.filename}: {text}" if err.filename else text
