--- /dev/null
+++ b/chivescale/failover/_group.py
@@ -0,0 +1,104 @@
+"""What the control leader knows of one database group."""
+
+import msgspec
+
+from chivescale.failover._events import StateApplied
+from chivescale.failover._selection import (
+    DEAD_AFTER_S,
+    Known,
+    Member,
+    members_of,
+)
+from chivescale.messages import EndpointRecord, EndpointStatus, ServiceRecord
+
+
+class Timing(msgspec.Struct, frozen=True):
+    """Timeouts of failover, in seconds."""
+
+    promise_timeout_s: float = 0.3
+    attempt_timeout_s: float = 1.5
+    silence_floor_s: float = 0.35
+
+
+class Group:
+    """Applied state of a service and the last status of its endpoints."""
+
+    def __init__(self, service: str, now: float):
+        self.service = service
+        self.since = now
+        self.record = ServiceRecord(service)
+        self.endpoints: dict[str, EndpointRecord] = {}
+        self.zone_hosts: dict[str, int] = {}
+        self.heard: dict[tuple[str, str], Known] = {}
+
+    def apply(self, event: StateApplied) -> None:
+        """Take over the applied state."""
+        self.record = event.record
+        self.endpoints = {
+            record.endpoint: record for record in event.endpoints
+        }
+        self.zone_hosts = event.zone_hosts
+
+    def learn(
+        self,
+        status: EndpointStatus,
+        now: float,
+        asked_at: float = float("-inf"),
+    ) -> None:
+        """Keep a status; an announcement never hides a direct answer."""
+        key = (status.endpoint, status.incarnation)
+        before = self.heard.get(key)
+        if before is None:
+            self.heard[key] = Known(status, now, asked_at)
+            return
+        before.heard_at = now
+        newer = (status.promised_term, status.last) >= (
+            before.status.promised_term,
+            before.status.last,
+        )
+        if asked_at >= before.direct_at or newer:
+            before.status = status
+            before.direct_at = max(before.direct_at, asked_at)
+
+    def forget(self, now: float) -> None:
+        """Drop what was heard of endpoints that no longer exist."""
+        for key, known in list(self.heard.items()):
+            gone = key[0] not in self.endpoints
+            if gone and now - known.heard_at > DEAD_AFTER_S:
+                del self.heard[key]
+
+    def known(self) -> dict[str, Known]:
+        """Return the last status of the registered incarnations."""
+        found = {}
+        for name, record in self.endpoints.items():
+            known = self.heard.get((name, record.incarnation))
+            if known is not None:
+                found[name] = known
+        return found
+
+    def status(self, member: Member) -> EndpointStatus | None:
+        """Return the last status of a voter's own incarnation."""
+        known = self.heard.get((member.endpoint, member.incarnation))
+        return known.status if known else None
+
+    def address(self, endpoint: str) -> str:
+        """Return the admin address; empty if unknown."""
+        record = self.endpoints.get(endpoint)
+        return record.admin_address if record else ""
+
+    def leaving(self, endpoint: str) -> bool:
+        """Tell whether the endpoint asked for no new work."""
+        record = self.endpoints.get(endpoint)
+        return record is not None and record.leaving
+
+    def voters(self) -> tuple[Member, ...]:
+        """Return the voters of the last established term."""
+        return members_of(self.record)
+
+    def highest_term(self) -> int:
+        """Return the highest term that anyone is known to have seen."""
+        terms = [self.record.term, self.record.begun_term]
+        for known in self.heard.values():
+            terms.append(known.status.promised_term)
+            terms.append(known.status.last.term)
+        return max(terms)
