--- /dev/null
+++ b/chivescale/entry/_api.py
@@ -0,0 +1,99 @@
+"""HTTP routes of an entry host."""
+
+import asyncio
+import time
+
+import msgspec
+
+from chivescale.errors import ErrorKind, Failure, is_failure
+from chivescale.messages import Accepted, Announcement
+from chivescale.transport import Request, Route
+
+RELAY_TIMEOUT_S = 2.0
+MAX_WAIT_MS = 10_000
+
+
+class EntryStatus(msgspec.Struct, frozen=True):
+    """State of one entry host for operators.
+
+    Attributes
+    ----------
+    index : int
+        Log index in force.
+    sheet : int
+        Number of the sheet in force; 0 for none.
+    ready, draining : bool
+        Whether new connections are welcome; whether the host drains.
+    callers, transactions : int
+        Open caller connections and transactions.
+    held : dict of int
+        Connections open per endpoint.
+    proven_age_ms : dict of float
+        Proven age per endpoint; -1 if none is known.
+    """
+
+    host: str
+    zone: str
+    index: int
+    sheet: int
+    ready: bool
+    draining: bool
+    callers: int
+    transactions: int
+    held: dict[str, int]
+    proven_age_ms: dict[str, float]
+
+
+def entry_routes(host) -> list[Route]:
+    """Return the routes of an entry host.
+
+    Parameters
+    ----------
+    host : EntryHost
+        The host that is served.
+    """
+
+    async def announce(request: Request):
+        host.services.note_status(request.body.status)
+        return await host.calls.call(
+            "POST",
+            "/v1/endpoints/announce",
+            Accepted,
+            request.body,
+            min(request.deadline, time.monotonic() + RELAY_TIMEOUT_S),
+        )
+
+    async def state(request: Request):
+        after = _number(request, "after", 0)
+        if is_failure(after):
+            return after
+        return host.watch.state.changes_since(after)
+
+    async def ready(request: Request):
+        if not host.is_ready:
+            return Failure(ErrorKind.NOT_READY, "starting or draining")
+        return Accepted()
+
+    async def status(request: Request):
+        return host.status()
+
+    async def drain(request: Request):
+        host.drain_task = asyncio.ensure_future(host.drain())
+        return Accepted(reason="draining")
+
+    return [
+        Route("POST", "/v1/endpoints/announce", announce, Announcement),
+        Route("GET", "/v1/state", state),
+        # Load balancers cannot sign their health checks.
+        Route("GET", "/v1/ready", ready, signed=False),
+        Route("GET", "/v1/status", status),
+        Route("POST", "/v1/drain", drain),
+    ]
+
+
+def _number(request: Request, name: str, default: int) -> int | Failure:
+    text = request.query.get(name, str(default))
+    if not (text.isascii() and text.isdigit() and len(text) < 19):
+        reason = f"{name}: not a whole number"
+        return Failure(ErrorKind.MESSAGE_INVALID, reason)
+    return int(text)
