Add session, routing, limits and retry decisions

The entry host needs pure decision modules: tokens, barriers, write confirmations, proven ages, statement classes, endpoint choice, limits, leases and the rule on resending.

Classification keeps no syntax tree; results are cached by text (bounded).

--- /dev/null
+++ b/chivescale/limits/__init__.py
@@ -0,0 +1,16 @@
+"""Rates, queues, concurrency limits and connection leases."""
+
+from chivescale.limits._adaptive import AdaptiveLimit
+from chivescale.limits._bucket import TokenBucket
+from chivescale.limits._leases import LeaseBook, max_min_shares
+from chivescale.limits._queue import FairQueue
+from chivescale.limits._workspace import WorkspaceLimits
+
+__all__ = [
+    "AdaptiveLimit",
+    "FairQueue",
+    "LeaseBook",
+    "TokenBucket",
+    "WorkspaceLimits",
+    "max_min_shares",
+]
--- /dev/null
+++ b/chivescale/retry/__init__.py
@@ -0,0 +1,6 @@
+"""Retry budget, backoff and the rule on resending."""
+
+from chivescale.retry._budget import RetryBudget, backoff_s
+from chivescale.retry._resend import Attempt, Request, may_resend
+
+__all__ = ["Attempt", "Request", "RetryBudget", "backoff_s", "may_resend"]
--- /dev/null
+++ b/chivescale/routing/__init__.py
@@ -0,0 +1,29 @@
+"""Classification of statements, hints and the choice of an endpoint."""
+
+from chivescale.routing._choose import Candidate, Need, choose_endpoint
+from chivescale.routing._classify import (
+    StatementClass,
+    classify,
+    needs_session,
+)
+from chivescale.routing._hints import Hints, parse_hints
+from chivescale.routing._local import LocalAnswer, SessionFacts, local_answer
+from chivescale.routing._set import parse_set
+from chivescale.routing._transaction import TransactionModes, transaction_modes
+
+__all__ = [
+    "Candidate",
+    "Hints",
+    "LocalAnswer",
+    "Need",
+    "SessionFacts",
+    "StatementClass",
+    "TransactionModes",
+    "choose_endpoint",
+    "classify",
+    "local_answer",
+    "needs_session",
+    "parse_hints",
+    "parse_set",
+    "transaction_modes",
+]
--- /dev/null
+++ b/chivescale/routing/_local.py
@@ -0,0 +1,183 @@
+"""Statements that the proxy answers itself."""
+
+import functools
+import re
+
+import msgspec
+
+from chivescale.errors import ErrorKind, Failure
+
+SERVER_VERSION = "8.0.36-chivescale"
+# Values that drivers ask for on connecting. They describe what the proxy
+# offers, which is the same on every endpoint.
+VARIABLES: dict[str, str | int] = {
+    "auto_increment_increment": 1,
+    "character_set_client": "utf8mb4",
+    "character_set_connection": "utf8mb4",
+    "character_set_database": "utf8mb4",
+    "character_set_results": "utf8mb4",
+    "character_set_server": "utf8mb4",
+    "collation_connection": "utf8mb4_general_ci",
+    "collation_database": "utf8mb4_general_ci",
+    "collation_server": "utf8mb4_general_ci",
+    "init_connect": "",
+    "interactive_timeout": 28800,
+    "license": "GPL",
+    "lower_case_table_names": 0,
+    "max_allowed_packet": 1 << 20,
+    "net_buffer_length": 16384,
+    "net_read_timeout": 30,
+    "net_write_timeout": 60,
+    "performance_schema": 0,
+    "query_cache_size": 0,
+    "query_cache_type": "OFF",
+    "sql_auto_is_null": 0,
+    "sql_mode": (
+        "ONLY_FULL_GROUP_BY,STRICT_TRANS_TABLES,NO_ZERO_IN_DATE,"
+        "NO_ZERO_DATE,ERROR_FOR_DIVISION_BY_ZERO,NO_ENGINE_SUBSTITUTION"
+    ),
+    "system_time_zone": "UTC",
+    "time_zone": "SYSTEM",
+    "transaction_isolation": "REPEATABLE-READ",
+    "transaction_read_only": 0,
+    "tx_isolation": "REPEATABLE-READ",
+    "tx_read_only": 0,
+    "version": SERVER_VERSION,
+    "version_comment": "chivescale",
+    "wait_timeout": 28800,
+}
+_FUNCTIONS = {
+    "database": "service",
+    "schema": "service",
+    "user": "workspace",
+    "current_user": "workspace",
+    "session_user": "workspace",
+    "system_user": "workspace",
+    "version": "version",
+    "connection_id": "connection_id",
+    "last_insert_id": "last_insert_id",
+    "row_count": "row_count",
+}
+_ITEM = re.compile(
+    r"\s*(?P<text>@@(?:(?:session|local|global)\.)?(?P<variable>\w+)"
+    r"|(?P<function>\w+)\s*\(\s*\)|@(?P<token>chivescale_token))"
+    r"(?:\s+(?:as\s+)?(?P<alias>`[^`]+`|'[^']+'|(?!limit\b)[a-z_]\w*))?\s*"
+    r"(?P<end>,|(?:limit\s+\d+\s*)?;?\s*$)",
+    re.IGNORECASE,
+)
+_START = re.compile(r"(?:\s*/\*(?!!).*?\*/)*\s*select\s+", re.I | re.DOTALL)
+_SHOW = re.compile(r"\s*show\s+(count\b|warnings|errors)", re.IGNORECASE)
+
+
+class SessionFacts(msgspec.Struct, frozen=True):
+    """What the proxy knows about a caller's connection.
+
+    Attributes
+    ----------
+    token : str
+        Text of the current session token; empty if there is none yet.
+    row_count, last_insert_id : int
+        Of the caller's last statement.
+    """
+
+    workspace: str = ""
+    service: str = ""
+    connection_id: int = 0
+    autocommit: bool = True
+    token: str = ""
+    last_insert_id: int = 0
+    row_count: int = -1
+
+
+class LocalAnswer(msgspec.Struct, frozen=True):
+    """Columns and rows; no columns means a plain OK."""
+
+    columns: tuple[str, ...] = ()
+    rows: tuple[tuple, ...] = ()
+
+
+def is_local_select(sql: str) -> bool:
+    """Tell whether every column of a SELECT has a local answer."""
+    return _items(sql[:4096]) is not None
+
+
+def local_answer(sql: str, facts: SessionFacts) -> LocalAnswer | Failure:
+    """Return the answer to a statement of class LOCAL.
+
+    Parameters
+    ----------
+    sql : str
+        Statement.
+    facts : SessionFacts
+        State of the caller's connection.
+
+    Returns
+    -------
+    LocalAnswer or Failure
+        ``UNSUPPORTED`` if the statement has no local answer.
+
+    Examples
+    --------
+    >>> local_answer("SELECT @@autocommit", SessionFacts(autocommit=False))
+    LocalAnswer(columns=('@@autocommit',), rows=((0,),))
+    """
+    items = _items(sql)
+    if items is not None:
+        names = tuple(name for name, _, _ in items)
+        row = tuple(_value(kind, key, facts) for _, kind, key in items)
+        return LocalAnswer(names, (row,))
+    show = _SHOW.match(sql)
+    if show is not None:
+        if show[1].lower() == "count":
+            return LocalAnswer(("@@session.warning_count",), ((0,),))
+        return LocalAnswer(("Level", "Code", "Message"), ())
+    words = re.sub(r"/\*.*?\*/", " ", sql, flags=re.DOTALL).split()
+    if not words or words[0].lower() == "set":
+        return LocalAnswer()
+    return Failure(ErrorKind.UNSUPPORTED, "statement has no local answer")
+
+
+@functools.lru_cache(maxsize=512)
+def _items(sql: str) -> tuple[tuple[str, str, str], ...] | None:
+    """Return (column, kind, key) of each column, or None if not local."""
+    start = _START.match(sql)
+    if start is None:
+        return None
+    found = []
+    place = start.end()
+    while True:
+        match = _ITEM.match(sql, place)
+        if match is None:
+            return None
+        item = _item(match)
+        if item is None:
+            return None
+        found.append(item)
+        place = match.end()
+        if match["end"] != ",":
+            return tuple(found)
+
+
+def _item(match: re.Match) -> tuple[str, str, str] | None:
+    name = (match["alias"] or match["text"]).strip("`'")
+    if match["variable"]:
+        key = match["variable"].lower()
+        known = key in VARIABLES or key == "autocommit"
+        return (name, "variable", key) if known else None
+    if match["function"]:
+        key = _FUNCTIONS.get(match["function"].lower())
+        return (name, "fact", key) if key else None
+    return (name, "fact", "token")
+
+
+def _value(kind: str, key: str, facts: SessionFacts) -> object:
+    if key == "autocommit":
+        return int(facts.autocommit)
+    if kind == "variable":
+        return VARIABLES[key]
+    if key == "version":
+        return SERVER_VERSION
+    value = getattr(facts, key)
+    if key == "workspace":
+        return f"{value}@%"
+    return value if value != "" else None
--- /dev/null
+++ b/chivescale/session/__init__.py
@@ -0,0 +1,77 @@
+"""Session consistency: tokens, barriers, confirmations and freshness.
+
+Everything here is pure: no sockets, clocks, files or asyncio. Times are
+monotonic seconds passed in by the caller.
+"""
+
+from chivescale.messages import Position
+from chivescale.session._barriers import (
+    BarrierFailed,
+    BarrierReady,
+    Barriers,
+    Join,
+    StartRound,
+    StatusFailed,
+    StatusReceived,
+    TermChanged,
+    Tick,
+)
+from chivescale.session._confirmations import (
+    AskFailed,
+    AskHistory,
+    AskPositions,
+    Confirmations,
+    Confirmed,
+    HistoryFailed,
+    HistoryReceived,
+    PositionReceived,
+    ProvedAbsent,
+    TermEstablished,
+    Unknown,
+    Wait,
+)
+from chivescale.session._freshness import Freshness
+from chivescale.session._keys import (
+    CREATE_REQUEST_TABLE,
+    StatementKey,
+    StoredResult,
+    statement_digest,
+)
+from chivescale.session._position import SessionPosition
+from chivescale.session._quorum import quorum_of
+from chivescale.session._token import Token, format_token, parse_token
+
+__all__ = [
+    "CREATE_REQUEST_TABLE",
+    "AskFailed",
+    "AskHistory",
+    "AskPositions",
+    "BarrierFailed",
+    "BarrierReady",
+    "Barriers",
+    "Confirmations",
+    "Confirmed",
+    "Freshness",
+    "HistoryFailed",
+    "HistoryReceived",
+    "Join",
+    "Position",
+    "PositionReceived",
+    "ProvedAbsent",
+    "SessionPosition",
+    "StartRound",
+    "StatementKey",
+    "StatusFailed",
+    "StatusReceived",
+    "StoredResult",
+    "TermChanged",
+    "TermEstablished",
+    "Tick",
+    "Token",
+    "Unknown",
+    "Wait",
+    "format_token",
+    "parse_token",
+    "quorum_of",
+    "statement_digest",
+]
