Add the request path of an entry host as a chain of filters

Cause: the decisions of session, routing, limits and retry need an executor. Change: filters for admission; reads by barrier or proven age; writes that are confirmed by a quorum; keyed writes; transactions on one connection. A statement takes its connection before its place in the endpoint's queue; the other order deadlocks with transactions that hold all connections. Measured: nothing yet; wired into the entry host next.

--- /dev/null
+++ b/chivescale/pipeline/_primary.py
@@ -0,0 +1,198 @@
+"""What writes and transactions share: the primary and confirmation."""
+
+import asyncio
+import time
+
+import msgspec
+
+from chivescale.errors import ErrorKind, Failure, is_failure
+from chivescale.messages import Position
+from chivescale.mysql import ClientConnection, QueryResult
+from chivescale.pipeline._call import Answer, Call
+from chivescale.pipeline._gate import EndpointGate
+from chivescale.retry import backoff_s
+from chivescale.session import Confirmed, ProvedAbsent
+
+# Refused before execution: too many connections, server read-only, server
+# shutting down.
+REFUSED_ERRNOS = frozenset({1040, 1053, 1290, 1836})
+# After a newer term is published, an answer already on its way gets this
+# long before the connection to the replaced primary is closed.
+REPLACED_GRACE_S = 0.05
+RECHECK_S = 0.1
+
+
+class Primary(msgspec.Struct, frozen=True):
+    """A connection to the primary of an established term."""
+
+    gate: EndpointGate
+    connection: ClientConnection
+    term: int
+
+
+async def connect_primary(call: Call) -> Primary | Failure:
+    """Return a connection to the primary once a quorum is proven.
+
+    Waits through a failover until the deadline; every failure here means
+    that the statement was not sent.
+    """
+    attempt = 0
+    reason = Failure(ErrorKind.NO_PRIMARY, "no primary is established")
+    while True:
+        gate = _usable_primary(call)
+        if not is_failure(gate):
+            found = await _try_connect(call, gate)
+            if not is_failure(found):
+                return found
+            if found.kind in _FINAL:
+                return found
+            reason = found
+        else:
+            reason = gate
+        left = call.deadline - time.monotonic()
+        if left <= 0:
+            return _not_started(reason)
+        pause = RECHECK_S / 2 + backoff_s(attempt, call.environment.rng)
+        attempt += 1
+        await call.service.view.wait_change(
+            time.monotonic() + min(left, pause)
+        )
+
+
+_FINAL = {
+    ErrorKind.NO_QUORUM,
+    ErrorKind.DEADLINE_NOT_STARTED,
+    ErrorKind.AUTHENTICATION_FAILED,
+    ErrorKind.SERVICE_NOT_ALLOWED,
+    ErrorKind.SHUTTING_DOWN,
+}
+
+
+def _usable_primary(call: Call) -> EndpointGate | Failure:
+    view = call.service.view
+    record = view.record
+    gate = call.service.primary()
+    if record.term == 0 or gate is None:
+        return Failure(ErrorKind.NO_PRIMARY, "no primary is established")
+    if gate.leaving:
+        reason = f"primary {record.primary} is leaving"
+        return Failure(ErrorKind.NO_PRIMARY, reason)
+    if view.freshness.highest_promised > record.term:
+        reason = f"primary {record.primary} is being replaced"
+        return Failure(ErrorKind.NO_PRIMARY, reason)
+    return gate
+
+
+async def _try_connect(call: Call, gate: EndpointGate) -> Primary | Failure:
+    view = call.service.view
+    term = view.record.term
+    wait_s = call.environment.entry.barrier_timeout_ms / 1000
+    until = min(call.deadline, time.monotonic() + wait_s)
+    missing = await view.check_quorum(until)
+    if missing is not None:
+        return missing
+    started = time.monotonic()
+    connection = await gate.pool.acquire(call.deadline, call.session.workspace)
+    call.environment.metrics.observe_pool_wait(
+        gate.record.endpoint, time.monotonic() - started
+    )
+    if is_failure(connection):
+        return connection
+    if view.record.term != term or gate.leaving:
+        gate.pool.release(connection)
+        return Failure(ErrorKind.STALE_TERM, "the primary was replaced")
+    return Primary(gate, connection, term)
+
+
+def _not_started(reason: Failure) -> Failure:
+    if reason.kind in (ErrorKind.OVERLOADED, ErrorKind.NO_PRIMARY):
+        return reason
+    return Failure(ErrorKind.NO_PRIMARY, reason.reason)
+
+
+async def watch_term(call: Call, primary: Primary, work) -> Answer:
+    """Run `work`, but give it up soon after the primary was replaced.
+
+    A frozen primary would otherwise hold the caller until its deadline.
+    """
+    task = asyncio.ensure_future(work)
+    view = call.service.view
+    try:
+        while not task.done():
+            changed = asyncio.ensure_future(view.changed.wait())
+            try:
+                await asyncio.wait(
+                    {task, changed}, return_when=asyncio.FIRST_COMPLETED
+                )
+            finally:
+                changed.cancel()
+            if not task.done() and view.record.term > primary.term:
+                await asyncio.wait({task}, timeout=REPLACED_GRACE_S)
+                break
+        if task.done():
+            return task.result()
+        return Failure(
+            ErrorKind.TIMEOUT, f"{primary.gate.record.endpoint} was replaced"
+        )
+    finally:
+        if not task.done():
+            task.cancel()
+            await asyncio.wait({task})
+
+
+async def confirm(call: Call, result: QueryResult, term: int) -> Answer:
+    """Acknowledge a result only once it is proven to last.
+
+    Parameters
+    ----------
+    call : Call
+        The statement.
+    result : QueryResult
+        Answer of the primary.
+    term : int
+        Term in which the statement was sent.
+    """
+    if result.commit is None:
+        return await _confirm_unchanged(call, result, term)
+    return await confirm_position(call, result, result.commit)
+
+
+async def confirm_position(
+    call: Call, result: QueryResult, position: Position
+) -> Answer:
+    """Return `result` once a quorum holds `position`."""
+    outcome = await call.service.view.confirm(position, call.deadline)
+    if isinstance(outcome, Confirmed):
+        call.state.position.write_confirmed(position)
+        return result
+    if isinstance(outcome, ProvedAbsent):
+        return Failure(
+            ErrorKind.DID_NOT_RUN,
+            "the primary was replaced before the write was replicated",
+        )
+    reason = f"no quorum held position {position.position} in time"
+    return Failure(ErrorKind.OUTCOME_UNKNOWN, reason)
+
+
+async def _confirm_unchanged(
+    call: Call, result: QueryResult, term: int
+) -> Answer:
+    """Prove that the primary was still in office when it answered.
+
+    A replaced primary may have answered from old data; nothing was written,
+    so the caller may send the statement again.
+    """
+    ready = await call.service.view.barrier(call.deadline)
+    if is_failure(ready):
+        return Failure(ErrorKind.DID_NOT_RUN, ready.reason)
+    record = call.service.view.record
+    if record.term != term or ready.promised_term > term:
+        return Failure(ErrorKind.DID_NOT_RUN, "the primary was replaced")
+    return result
+
+
+def was_refused(failure: Failure) -> bool:
+    """Tell whether a statement was provably not executed."""
+    if failure.kind is ErrorKind.STATEMENT_FAILED:
+        return failure.errno in REFUSED_ERRNOS
+    return failure.kind in (ErrorKind.UNREACHABLE, ErrorKind.STALE_TERM)
--- a/chivescale/entry/_service.py
+++ b/chivescale/pipeline/_service.py
@@ -4,8 +4,6 @@
 import collections.abc
 import time
 
-import msgspec
-
 from chivescale import session as decisions
 from chivescale.errors import ErrorKind, Failure, is_failure
 from chivescale.messages import EndpointStatus, Position, ServiceRecord
@@ -21,13 +19,6 @@
 QUORUM_EVIDENCE_S = 1.0
 
 
-class Reached(msgspec.Struct, frozen=True):
-    """Admin address of an endpoint."""
-
-    endpoint: str
-    address: str
-
-
 class ServiceView:
     """Barriers, confirmations and freshness of one service.
 
@@ -126,6 +117,10 @@
         status = await self._ask(endpoint, path, wait_s + 0.2)
         return status is not None and status.last >= position
 
+    async def status_of(self, endpoint: str) -> EndpointStatus | None:
+        """Return the present status of an endpoint; None without answer."""
+        return await self._ask(endpoint, "/v1/position", HISTORY_ASK_S)
+
     def close(self) -> None:
         """End all questions; waiting callers get ``SHUTTING_DOWN``."""
         for timer in self.timers.values():
