--- /dev/null
+++ b/chivescale_standin/_faults.py
@@ -0,0 +1,62 @@
+"""Faults in force and the gates that apply them."""
+
+import asyncio
+import time
+
+from chivescale_standin._messages import Fault
+
+
+class Faults:
+    """State of fault injection.
+
+    Attributes are those of `Fault`; `frozen_until` is a monotonic time in
+    seconds.
+    """
+
+    def __init__(self, delay_s: float = 0.0):
+        self.base_delay_s = delay_s
+        self.clear()
+
+    def clear(self) -> None:
+        """End all faults; silenced connections stay silent."""
+        self.frozen_until = 0.0
+        self.cut: frozenset[str] = frozenset()
+        self.cut_all = False
+        self.cut_control = False
+        self.lag_s = 0.0
+        self.slow_s = 0.0
+        self.refuse = False
+        self.drop_announcements = 0
+        self.delay_s = self.base_delay_s
+
+    def apply(self, fault: Fault) -> None:
+        """Put the stated faults in force."""
+        if fault.clear:
+            self.clear()
+        if fault.freeze_ms is not None:
+            self.frozen_until = time.monotonic() + fault.freeze_ms / 1000
+        if fault.cut is not None:
+            self.cut = frozenset(fault.cut)
+        for name in ("cut_all", "cut_control", "refuse", "drop_announcements"):
+            value = getattr(fault, name)
+            if value is not None:
+                setattr(self, name, value)
+        for name in ("lag", "slow", "delay"):
+            value = getattr(fault, f"{name}_ms")
+            if value is not None:
+                setattr(self, f"{name}_s", value / 1000)
+
+    def is_cut(self, endpoint: str) -> bool:
+        """Whether replication with `endpoint` is cut."""
+        return self.cut_all or endpoint in self.cut
+
+    async def gate(self) -> None:
+        """Wait while the process counts as frozen."""
+        while (left := self.frozen_until - time.monotonic()) > 0:
+            await asyncio.sleep(left)
+
+    async def travel(self) -> None:
+        """Wait for one network delay, then for the end of a freeze."""
+        if self.delay_s:
+            await asyncio.sleep(self.delay_s)
+        await self.gate()
