--- a/chivescale_standin/_faults.py
+++ b/chivescale_standin/_faults.py
@@ -5,6 +5,9 @@
 
 from chivescale_standin._messages import Fault
 
+# A freeze that is cleared early ends within this time.
+GATE_POLL_S = 0.05
+
 
 class Faults:
     """State of fault injection.
@@ -52,8 +55,11 @@
 
     async def gate(self) -> None:
         """Wait while the process counts as frozen."""
-        while (left := self.frozen_until - time.monotonic()) > 0:
-            await asyncio.sleep(left)
+        while True:
+            left_s = self.frozen_until - time.monotonic()
+            if left_s <= 0:
+                return
+            await asyncio.sleep(min(left_s, GATE_POLL_S))
 
     async def travel(self) -> None:
         """Wait for one network delay, then for the end of a freeze."""
