--- a/chivescale/messages/__init__.py
+++ b/chivescale/messages/__init__.py
@@ -39,7 +39,12 @@
     PromoteReply,
     TermStart,
 )
-from chivescale.messages._status import MemberStatus, Status
+from chivescale.messages._operator import (
+    DrainRequest,
+    MemberStatus,
+    ReplaceRequest,
+    Status,
+)
 
 __all__ = [
     "AcceptSheet",
@@ -48,6 +53,7 @@
     "BeginTerm",
     "Command",
     "DrainHost",
+    "DrainRequest",
     "EndpointRecord",
     "EndpointStatus",
     "ErrorBody",
@@ -68,6 +74,7 @@
     "RegisterHost",
     "RemoveEndpoint",
     "RemoveHost",
+    "ReplaceRequest",
     "ServiceBinding",
     "ServiceRecord",
     "SheetAnswer",
--- a/chivescale/messages/_status.py
+++ b/chivescale/messages/_operator.py
@@ -1,4 +1,4 @@
-"""State of a control host for operators."""
+"""Requests of operators to control hosts, and their state."""
 
 import msgspec
 
@@ -56,3 +56,19 @@
     sheet: int = 0
     members: tuple[MemberStatus, ...] = ()
     live_hosts: tuple[str, ...] = ()
+
+
+class DrainRequest(msgspec.Struct, frozen=True):
+    """Body of ``POST /v1/hosts/drain``: drain an entry host."""
+
+    host: str
+
+
+class ReplaceRequest(msgspec.Struct, frozen=True):
+    """Body of ``POST /v1/members/replace``.
+
+    Admits the present incarnation of a control host as a learner, after its
+    disk was lost.
+    """
+
+    name: str
