--- a/chivescale/sheet/_parse.py
+++ b/chivescale/sheet/_parse.py
@@ -107,7 +107,7 @@
                 start = reader.line_num + 1
                 if len(rows) > MAX_SHEET_ROWS + 1:
                     reason = f"more than {MAX_SHEET_ROWS} rows"
-                    self.refuse(start, "", reason)
+                    self.refuse(rows[-1][0], "", reason)
                     return []
         except csv.Error as err:
             self.refuse(start, "", f"bad quoting: {err}")
