--- a/chivescale/settings/_rules.py
+++ b/chivescale/settings/_rules.py
@@ -149,11 +149,23 @@
         yield from _check_address(f"{key}.address", member.address)
         names.add(member.name)
         addresses.add(member.address)
-    is_control = "control" in settings.host.roles
-    if is_control and settings.host.name not in names:
+    yield from _check_own_member(settings)
+
+
+def _check_own_member(settings: Settings) -> collections.abc.Iterator[str]:
+    """Check that the others look for this control host where it listens."""
+    name, own = settings.host.name, control_address(settings)
+    if not own or not NAME_PATTERN.fullmatch(name):
+        return
+    listed = [
+        item.address for item in settings.cluster.control if item.name == name
+    ]
+    if not listed:
+        yield f"cluster.control: {name} has the control role, is not listed"
+    elif own not in listed:
         yield (
-            f"cluster.control: {settings.host.name} has the control role "
-            "and is not listed"
+            f"cluster.control: {name} is listed with {listed[0]} and "
+            f"listens on {own}"
         )
 
 
@@ -186,10 +198,10 @@
 def _check_clashes(settings: Settings) -> collections.abc.Iterator[str]:
     """Check that no two ports of the file are the same."""
     used: dict[tuple[str, int], str] = {}
-    own = settings.host.name if "control" in settings.host.roles else None
+    own = settings.listen.control_api or control_address(settings)
     for member in settings.cluster.control:
         address = parse_address(member.address)
-        if address is not None and member.name != own:
+        if address is not None and member.address != own:
             used[address] = f"cluster.control of {member.name}"
     for key, text in msgspec.structs.asdict(settings.listen).items():
         address = parse_address(text)
