--- /dev/null
+++ b/chivescale/state/__init__.py
@@ -0,0 +1,19 @@
+"""The replicated state that control hosts keep and entry hosts copy."""
+
+from chivescale.state._results import (
+    EndpointChanged,
+    HostChanged,
+    SheetApplied,
+    TermBegun,
+    TermEstablished,
+)
+from chivescale.state._state import ClusterState
+
+__all__ = [
+    "ClusterState",
+    "EndpointChanged",
+    "HostChanged",
+    "SheetApplied",
+    "TermBegun",
+    "TermEstablished",
+]
--- /dev/null
+++ b/chivescale/state/_results.py
@@ -0,0 +1,57 @@
+"""Outcomes of commands, for the host that proposed them."""
+
+import msgspec
+
+from chivescale.messages import EndpointRecord, HostRecord, ServiceRecord
+
+
+class SheetApplied(msgspec.Struct, frozen=True):
+    """The sheet is in force.
+
+    Attributes
+    ----------
+    number : int
+        Number of the sheet.
+    digest : str
+        Digest of its content.
+    index : int
+        Log index at which the sheet came in force.
+    repeated : bool
+        Whether the same sheet was in force already.
+    """
+
+    number: int
+    digest: str
+    index: int
+    repeated: bool
+
+
+class HostChanged(msgspec.Struct, frozen=True):
+    """An entry host was added, changed or removed (`record` is None)."""
+
+    host: str
+    record: HostRecord | None
+
+
+class EndpointChanged(msgspec.Struct, frozen=True):
+    """An endpoint was added, changed or removed (`record` is None)."""
+
+    endpoint: str
+    record: EndpointRecord | None
+
+
+class TermBegun(msgspec.Struct, frozen=True):
+    """The term is reserved for the proposer of the command."""
+
+    record: ServiceRecord
+
+
+class TermEstablished(msgspec.Struct, frozen=True):
+    """The term is published."""
+
+    record: ServiceRecord
+
+
+Result = (
+    SheetApplied | HostChanged | EndpointChanged | TermBegun | TermEstablished
+)
