--- a/chivescale/agreement/__init__.py
+++ b/chivescale/agreement/__init__.py
@@ -25,7 +25,11 @@
     Tick,
     Timing,
 )
-from chivescale.agreement._folder import FolderReport, check_folder
+from chivescale.agreement._folder import (
+    FolderReport,
+    check_folder,
+    read_folder,
+)
 from chivescale.agreement._host import AgreementHost, Callbacks, Outcome
 from chivescale.agreement._machine import Agreement
 from chivescale.agreement._messages import (
@@ -83,4 +87,5 @@
     "VoteReply",
     "VoteRequest",
     "check_folder",
+    "read_folder",
 ]
--- /dev/null
+++ b/chivescale/cli/_control.py
@@ -0,0 +1,78 @@
+"""Commands that change control hosts or entry hosts."""
+
+import argparse
+import asyncio
+import time
+
+from chivescale.cli._report import ExitCode, Report, report_failure
+from chivescale.cli._status import ask_entry_hosts
+from chivescale.cli._system import System
+from chivescale.errors import is_failure
+from chivescale.messages import Accepted, DrainRequest, ReplaceRequest
+
+POLL_S = 0.2
+
+
+async def drain(system: System, options: argparse.Namespace) -> Report:
+    """Drain an entry host; repeating it is safe."""
+    answer = await system.leader.call(
+        "POST",
+        "/v1/hosts/drain",
+        Accepted,
+        DrainRequest(options.host),
+        timeout_s=system.timeout_s,
+    )
+    report = _report(answer, f"host {options.host} drains")
+    if report.code == ExitCode.OK and options.wait:
+        await _wait_drained(system, options.host, options.wait, report)
+    return report
+
+
+async def replace(system: System, options: argparse.Namespace) -> Report:
+    """Admit a control host that lost its disk; repeating it is safe."""
+    answer = await system.leader.call(
+        "POST",
+        "/v1/members/replace",
+        Accepted,
+        ReplaceRequest(options.name),
+        timeout_s=system.timeout_s,
+    )
+    return _report(answer, f"control host {options.name} is admitted")
+
+
+async def _wait_drained(
+    system: System, name: str, seconds: float, report: Report
+) -> None:
+    """Wait until the host serves no caller or has ended."""
+    deadline = time.monotonic() + seconds
+    while time.monotonic() < deadline:
+        answers = await ask_entry_hosts(system)
+        if not is_failure(answers) and _is_drained(answers, name):
+            report.data["drained"] = True
+            report.lines.append(f"host {name} serves no caller")
+            return
+        await asyncio.sleep(POLL_S)
+    report.code = ExitCode.REFUSED
+    report.data["drained"] = False
+    report.errors.append(f"host {name} still serves after {seconds:g} s")
+
+
+def _is_drained(answers: list, name: str) -> bool:
+    for host, status in answers:
+        if host.host == name:
+            return is_failure(status) or (
+                status.draining and not status.callers
+            )
+    return True
+
+
+def _report(answer, line: str) -> Report:
+    if is_failure(answer):
+        return report_failure(answer)
+    code = ExitCode.OK if answer.ok else ExitCode.REFUSED
+    reason = f": {answer.reason}" if answer.reason else ""
+    if not answer.ok:
+        return Report(
+            code, {"reason": answer.reason}, errors=[f"refused{reason}"]
+        )
+    return Report(code, {"reason": answer.reason}, [line + reason])
--- /dev/null
+++ b/chivescale/cli/_health.py
@@ -0,0 +1,96 @@
+"""What is wrong in a picture of the system."""
+
+import collections.abc
+import typing
+
+from chivescale.errors import is_failure
+from chivescale.messages import ServiceRecord
+
+if typing.TYPE_CHECKING:
+    from chivescale.cli._status import Picture
+
+
+def find_problems(picture: "Picture") -> list[str]:
+    """Return one line for each thing that needs an operator."""
+    return [
+        *_control_problems(picture),
+        *_host_problems(picture),
+        *_service_problems(picture),
+        *_endpoint_problems(picture),
+    ]
+
+
+def _control_problems(picture: "Picture") -> collections.abc.Iterator[str]:
+    leaders = 0
+    for address, answer in picture.control:
+        if is_failure(answer):
+            yield f"control host {address}: {answer.reason}"
+        elif answer.role == "leader":
+            leaders += 1
+    if not leaders:
+        yield "control hosts: no leader"
+    if picture.state.sheet is None:
+        yield "no sheet is in force"
+
+
+def _host_problems(picture: "Picture") -> collections.abc.Iterator[str]:
+    if not picture.hosts:
+        yield "no entry host is known"
+    for host, answer in picture.hosts:
+        if is_failure(answer):
+            yield f"entry host {host.host}: {answer.reason}"
+        elif not answer.ready and not (host.draining or answer.draining):
+            yield f"entry host {host.host}: not ready"
+
+
+def _service_problems(picture: "Picture") -> collections.abc.Iterator[str]:
+    alive = {
+        record.endpoint: answer
+        for record, answer in picture.endpoints
+        if not is_failure(answer)
+    }
+    for service in picture.state.services:
+        if not service.term:
+            known = sum(
+                record.service == service.service
+                for record, _ in picture.endpoints
+            )
+            yield (
+                f"service {service.service}: no term yet, {known} of "
+                f"{service.group_size} endpoints known"
+            )
+            continue
+        yield from _voter_problems(service, alive)
+
+
+def _voter_problems(
+    service: ServiceRecord, alive: dict
+) -> collections.abc.Iterator[str]:
+    name = service.service
+    reachable = [voter for voter in service.voters if voter in alive]
+    quorum = len(service.voters) // 2 + 1
+    if len(reachable) < quorum:
+        yield (
+            f"service {name}: {len(reachable)} of {len(service.voters)} "
+            f"voters reachable, a quorum is {quorum}"
+        )
+    primary = alive.get(service.primary)
+    if primary is None:
+        yield f"service {name}: primary {service.primary} is not reachable"
+    elif primary.role != "primary":
+        yield (
+            f"service {name}: primary {service.primary} reports the role "
+            f"{primary.role}"
+        )
+    if len(service.voters) < service.group_size:
+        yield (
+            f"service {name}: {len(service.voters)} of "
+            f"{service.group_size} voters"
+        )
+
+
+def _endpoint_problems(picture: "Picture") -> collections.abc.Iterator[str]:
+    primaries = {item.primary for item in picture.state.services}
+    for record, answer in picture.endpoints:
+        if is_failure(answer) and record.endpoint not in primaries:
+            yield f"endpoint {record.endpoint}: {answer.reason}"
--- /dev/null
+++ b/chivescale/cli/_sheet.py
@@ -0,0 +1,243 @@
+"""Commands on sheets."""
+
+import argparse
+import asyncio
+import time
+
+from chivescale.cli._report import ExitCode, Report, report_failure, table
+from chivescale.cli._status import ask_entry_hosts
+from chivescale.cli._system import System, read_file, run_with_system
+from chivescale.errors import ErrorKind, Failure, is_failure
+from chivescale.messages import SheetAnswer, SheetUpload
+from chivescale.sheet import (
+    Change,
+    Sheet,
+    check_sheet,
+    diff,
+    digest,
+    format_sheet,
+    make_sheet,
+)
+
+SHEET_PATH = "/v1/sheet"
+POLL_S = 0.1
+
+
+def check(options: argparse.Namespace) -> Report:
+    """Check a sheet file without a running system."""
+    sheet = _load(options.file)
+    return sheet if isinstance(sheet, Report) else _describe(sheet)
+
+
+async def compare(options: argparse.Namespace) -> Report:
+    """Compare a file with another one or with the sheet in force."""
+    new = _load(options.file)
+    if isinstance(new, Report):
+        return new
+    if options.old is None:
+        return await run_with_system(_compare_in_force(new), options)
+    old = _load(options.old)
+    if isinstance(old, Report):
+        return old
+    return _report_changes(diff(old, new))
+
+
+async def apply(options: argparse.Namespace) -> Report:
+    """Upload a sheet; safe to repeat with the same number."""
+    content = read_file(options.file)
+    if is_failure(content):
+        return report_failure(content)
+    sheet = _load(options.file)
+    if isinstance(sheet, Report):
+        return sheet
+    text = content.decode("utf-8")
+    return await run_with_system(_upload(text), options)
+
+
+async def show(system: System, options: argparse.Namespace) -> Report:
+    """Show the sheet in force."""
+    answer = await _fetch(system)
+    if is_failure(answer):
+        return report_failure(answer, reads_only=True)
+    sheet = make_sheet(answer.services, answer.workspaces)
+    if options.csv:
+        report = Report(lines=format_sheet(sheet).splitlines())
+    else:
+        report = _describe(sheet)
+        report.lines.insert(0, f"number      {answer.number}")
+        report.lines += ["", *_listing(sheet)]
+    report.data |= {
+        "number": answer.number,
+        "index": answer.index,
+        "digest": answer.digest,
+        "services": sheet.services,
+        "workspaces": sheet.workspaces,
+    }
+    return report
+
+
+def _upload(text: str):
+    async def run(system: System, options: argparse.Namespace) -> Report:
+        number = options.number
+        if number is None:
+            answer = await _fetch(system)
+            if is_failure(answer):
+                return report_failure(answer, reads_only=True)
+            number = answer.number + 1
+        answer = await system.leader.call(
+            "POST",
+            SHEET_PATH,
+            SheetAnswer,
+            SheetUpload(number, text),
+            timeout_s=system.timeout_s,
+        )
+        if is_failure(answer):
+            report = report_failure(answer)
+            report.data["number"] = number
+            if report.code == ExitCode.IN_DOUBT:
+                report.errors.append(
+                    f"repeat the command with --number {number} to learn "
+                    "the outcome"
+                )
+            return report
+        report = _accepted(answer)
+        if options.wait:
+            await _wait_in_force(system, answer.index, options.wait, report)
+        return report
+
+    return run
+
+
+def _accepted(answer: SheetAnswer) -> Report:
+    again = " (again)" if answer.repeated else ""
+    return Report(
+        ExitCode.OK,
+        {
+            "number": answer.number,
+            "digest": answer.digest,
+            "index": answer.index,
+            "repeated": answer.repeated,
+        },
+        [f"sheet {answer.number} accepted{again} at index {answer.index}"],
+    )
+
+
+async def _wait_in_force(
+    system: System, index: int, seconds: float, report: Report
+) -> None:
+    """Wait until every entry host has applied the index."""
+    deadline = time.monotonic() + seconds
+    while True:
+        late = await _late_hosts(system, index)
+        if late == []:
+            report.data["late_hosts"] = []
+            report.lines.append("in force on every entry host")
+            return
+        if time.monotonic() >= deadline:
+            break
+        await asyncio.sleep(POLL_S)
+    report.code = ExitCode.REFUSED
+    if late is None:
+        report.errors.append("no control host lists the entry hosts")
+        return
+    report.data["late_hosts"] = late
+    report.errors += [f"not in force on {name}" for name in late]
+
+
+async def _late_hosts(system: System, index: int) -> list[str] | None:
+    answers = await ask_entry_hosts(system)
+    if is_failure(answers):
+        return None
+    return [
+        host.host
+        for host, status in answers
+        if is_failure(status) or status.index < index
+    ]
+
+
+def _compare_in_force(new: Sheet):
+    async def run(system: System, _options: argparse.Namespace) -> Report:
+        answer = await _fetch(system)
+        if is_failure(answer):
+            return report_failure(answer, reads_only=True)
+        old = make_sheet(answer.services, answer.workspaces)
+        return _report_changes(diff(old, new))
+
+    return run
+
+
+async def _fetch(system: System) -> SheetAnswer | Failure:
+    return await system.leader.call(
+        "GET", SHEET_PATH, SheetAnswer, timeout_s=system.timeout_s
+    )
+
+
+def _load(path: str) -> Sheet | Report:
+    content = read_file(path)
+    if is_failure(content):
+        return report_failure(content)
+    sheet, defects = check_sheet(content)
+    if sheet is not None:
+        return sheet
+    return Report(
+        ExitCode.REFUSED,
+        {"kind": ErrorKind.SHEET_INVALID.value, "defects": defects},
+        errors=[f"{path}: {defect}" for defect in defects],
+    )
+
+
+def _describe(sheet: Sheet) -> Report:
+    bindings = sum(len(item.bindings) for item in sheet.workspaces)
+    data = {
+        "digest": digest(sheet),
+        "service_count": len(sheet.services),
+        "workspace_count": len(sheet.workspaces),
+        "binding_count": bindings,
+    }
+    return Report(
+        ExitCode.OK,
+        data,
+        [
+            f"digest      {data['digest']}",
+            f"services    {len(sheet.services)}",
+            f"workspaces  {len(sheet.workspaces)}",
+            f"bindings    {bindings}",
+        ],
+    )
+
+
+def _listing(sheet: Sheet) -> list[str]:
+    rows = [
+        (
+            workspace.name,
+            binding.service,
+            binding.staleness_ms,
+            binding.session_scope,
+            workspace.max_connections,
+            workspace.max_concurrent,
+            f"{workspace.max_rate:g}",
+        )
+        for workspace in sheet.workspaces
+        for binding in workspace.bindings
+    ]
+    return table(
+        (
+            "workspace",
+            "service",
+            "staleness_ms",
+            "session_scope",
+            "connections",
+            "concurrent",
+            "rate",
+        ),
+        rows,
+    )
+
+
+def _report_changes(changes: list[Change]) -> Report:
+    lines = []
+    for change in changes:
+        lines.append(f"{change.action} {change.kind} {change.name}")
+        for field, old, new in change.fields:
+            lines.append(f"    {field}: {old} -> {new}")
+    return Report(ExitCode.OK, {"changes": changes}, lines or ["no changes"])
