--- a/chivescale/failover/_attempt.py
+++ b/chivescale/failover/_attempt.py
@@ -190,9 +190,8 @@
         for name in self._members():
             if name in self.answered or name in self.failed:
                 continue
+            # A suspect that still answers may be needed for the quorum.
             suspect = name == self.plan.suspect
-            if suspect and not self.plan.needs_probe:
-                continue
             if self._due(name, now, CHECK_TIMEOUT_S):
                 timeout_s = self.timing.silence_floor_s
                 effects.append(
