--- /dev/null
+++ b/chivescale/control/_host.py
@@ -0,0 +1,235 @@
+"""Shell of the control role."""
+
+import asyncio
+import pathlib
+import time
+import typing
+
+from chivescale.agreement import AgreementHost, Callbacks, DurableLog, Role
+from chivescale.control._leadership import Leadership
+from chivescale.control._routes import make_routes
+from chivescale.errors import ErrorKind, Failure, is_failure
+from chivescale.messages import (
+    AcceptSheet,
+    Batch,
+    BeginTerm,
+    Command,
+    DrainHost,
+    EndpointRecord,
+    EstablishTerm,
+    RegisterHost,
+    RemoveHost,
+    WatchReply,
+    decode,
+)
+from chivescale.settings import Settings
+from chivescale.state import ClusterState
+from chivescale.telemetry import log_event
+from chivescale.transport import Client, Server, client_tls, server_tls
+
+
+class ControlHost:
+    """One control host: its member of the log and what it serves.
+
+    Parameters
+    ----------
+    settings : Settings
+        Settings of the process.
+    secret : bytes
+        Shared secret.
+    metrics : Metrics, optional
+        Metrics of the process.
+
+    Attributes
+    ----------
+    leadership : Leadership or None
+        Present while this host leads.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        secret: bytes,
+        metrics: typing.Any = None,
+    ):
+        self.settings = settings
+        self.metrics = metrics
+        self.state = ClusterState()
+        self.leadership: Leadership | None = None
+        self.waiters: set[asyncio.Future] = set()
+        self.stopping = False
+        self.client = Client(secret, client_tls(settings.tls))
+        self.agreement = AgreementHost(
+            settings.host.name,
+            settings.cluster.control,
+            DurableLog(pathlib.Path(settings.host.data_dir)),
+            self.client,
+            settings.agreement,
+            Callbacks(
+                self._apply,
+                self._snapshot,
+                self._restore,
+                self._leadership_changed,
+            ),
+        )
+        routes = self.agreement.routes() + make_routes(self)
+        self.server = Server(secret, routes, server_tls(settings.tls))
+
+    async def start(self) -> Failure | None:
+        """Open the data folder and serve; a failure names what is wrong."""
+        failure = await self.agreement.start()
+        if failure is not None:
+            return failure
+        listen = self.settings.listen
+        await self.server.start(listen.control_api or listen.api)
+        return None
+
+    async def stop(self) -> None:
+        """Stop serving and close the data folder."""
+        self.stopping = True
+        self._notify()
+        await self.agreement.close()
+        if self.leadership is not None:
+            self._end_leadership()
+        await self.server.close()
+        await self.client.close()
+
+    # callbacks of the log
+
+    def _apply(self, index: int, data: bytes):
+        command = decode(data, Command)
+        if is_failure(command):
+            # All hosts read the same bytes; a host that cannot must not
+            # go on with another state than the others.
+            reason = f"log entry {index}: {command.reason}"
+            raise AssertionError(reason)
+        result = self.state.apply(index, command)
+        self._notify()
+        if self.leadership is not None:
+            self._tell_leadership(command)
+        return result
+
+    def _tell_leadership(self, command: Command) -> None:
+        parts = command.commands if isinstance(command, Batch) else [command]
+        services: set[str] = set()
+        hosts = endpoints = False
+        for part in parts:
+            if isinstance(part, RegisterHost | RemoveHost | DrainHost):
+                hosts = True
+            elif isinstance(part, AcceptSheet):
+                endpoints = True
+                services.update(self.leadership.failovers)
+                services.update(self.state.services)
+            elif isinstance(part, BeginTerm | EstablishTerm):
+                endpoints |= isinstance(part, EstablishTerm)
+                services.add(part.service)
+            else:
+                endpoints = True
+                services.update(self._services_of(part))
+        self.leadership.state_changed(services, hosts, endpoints)
+
+    def _services_of(self, command) -> set[str]:
+        """Return the services that a change of an endpoint concerns."""
+        record = getattr(command, "record", None)
+        if isinstance(record, EndpointRecord):
+            return {record.service}
+        known = self.state.endpoints.get(command.endpoint)
+        if known is not None:
+            return {known.service}
+        return {
+            service
+            for service, failover in self.leadership.failovers.items()
+            if command.endpoint in failover.group.endpoints
+        }
+
+    def _snapshot(self) -> bytes:
+        # The state object changes with a restore.
+        return self.state.to_bytes()
+
+    def _restore(self, data: bytes) -> None:
+        state = ClusterState.from_bytes(data)
+        if is_failure(state):
+            raise AssertionError(state.reason)
+        self.state = state
+        self._notify()
+
+    def _leadership_changed(self, leading: bool, term: int) -> None:
+        if self.leadership is not None:
+            self._end_leadership()
+        if leading and not self.stopping:
+            self.leadership = Leadership(
+                self.settings,
+                self.state,
+                self.client,
+                self.agreement.submit,
+                self.metrics,
+            )
+            self.leadership.start()
+
+    def _end_leadership(self) -> None:
+        self.leadership.close()
+        self.leadership = None
+
+    # reading the state
+
+    def not_leader(self) -> Failure:
+        """Return the answer to a request that only the leader serves."""
+        if self.agreement.failure is not None:
+            return self.agreement.failure
+        address = self.agreement.leader_address
+        reason = f"{self.settings.host.name} is not the control leader"
+        return Failure(ErrorKind.NOT_LEADER, reason, redirect=address)
+
+    def authoritative(self) -> bool:
+        """Tell whether this host is in contact with a quorum.
+
+        A leader steps down without one. A follower that hears the leader
+        is in contact through it.
+        """
+        machine = self.agreement.machine
+        if machine is None or self.agreement.failure is not None:
+            return False
+        if machine.role is Role.LEADER:
+            return machine.ready
+        if machine.leader is None or machine.leader_contact is None:
+            return False
+        age_s = time.monotonic() - machine.leader_contact
+        return age_s < machine.timing.election_timeout_s
+
+    async def watch(self, after: int, deadline: float) -> WatchReply:
+        """Wait for a state above `after` and return the changes."""
+        while self.state.index <= after and not self.stopping:
+            left_s = deadline - time.monotonic()
+            if left_s <= 0 or not await self._wait(left_s):
+                break
+        if after > self.state.index:
+            # The reader knows more; nothing here is news to it.
+            return WatchReply(self.state.index, self.authoritative())
+        return self.state.changes_since(after, self.authoritative())
+
+    async def _wait(self, timeout_s: float) -> bool:
+        waiter = asyncio.get_running_loop().create_future()
+        self.waiters.add(waiter)
+        try:
+            async with asyncio.timeout(timeout_s):
+                await waiter
+            return True
+        except TimeoutError:
+            return False
+        finally:
+            self.waiters.discard(waiter)
+
+    def _notify(self) -> None:
+        waiters, self.waiters = self.waiters, set()
+        for waiter in waiters:
+            if not waiter.done():
+                waiter.set_result(None)
+
+    def log_refused(self, what: str, failure: Failure) -> None:
+        """Log an operator's request that was refused."""
+        log_event(
+            f"{what}_refused",
+            "warning",
+            kind=failure.kind,
+            reason=failure.reason,
+        )
--- a/chivescale/messages/__init__.py
+++ b/chivescale/messages/__init__.py
@@ -3,6 +3,7 @@
 from chivescale.messages._cluster import (
     AcceptSheet,
     Announcement,
+    Batch,
     BeginTerm,
     Command,
     DrainHost,
@@ -50,6 +51,7 @@
     "AcceptSheet",
     "Accepted",
     "Announcement",
+    "Batch",
     "BeginTerm",
     "Command",
     "DrainHost",
--- a/chivescale/messages/_cluster.py
+++ b/chivescale/messages/_cluster.py
@@ -180,6 +180,23 @@
     marker: int
 
 
+class Batch(msgspec.Struct, frozen=True, tag=True):
+    """Command: several changes of the membership in one log entry.
+
+    A failing rack or a rolling restart changes many records at once; one
+    entry for all of them keeps the log short.
+    """
+
+    commands: tuple[
+        RegisterHost
+        | RemoveHost
+        | RegisterEndpoint
+        | LeaveEndpoint
+        | RemoveEndpoint,
+        ...,
+    ]
+
+
 Command = (
     AcceptSheet
     | RegisterHost
@@ -190,6 +207,7 @@
     | RemoveEndpoint
     | BeginTerm
     | EstablishTerm
+    | Batch
 )
 
 
--- a/chivescale/state/__init__.py
+++ b/chivescale/state/__init__.py
@@ -1,6 +1,7 @@
 """The replicated state that control hosts keep and entry hosts copy."""
 
 from chivescale.state._results import (
+    BatchApplied,
     EndpointChanged,
     HostChanged,
     SheetApplied,
@@ -10,6 +11,7 @@
 from chivescale.state._state import ClusterState
 
 __all__ = [
+    "BatchApplied",
     "ClusterState",
     "EndpointChanged",
     "HostChanged",
--- a/chivescale/state/_results.py
+++ b/chivescale/state/_results.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from chivescale.errors import Failure
 from chivescale.messages import EndpointRecord, HostRecord, ServiceRecord
 
 
@@ -52,6 +53,17 @@
     record: ServiceRecord
 
 
+class BatchApplied(msgspec.Struct, frozen=True):
+    """Outcome of each command of a batch, in order."""
+
+    results: tuple[HostChanged | EndpointChanged | Failure, ...]
+
+
 Result = (
-    SheetApplied | HostChanged | EndpointChanged | TermBegun | TermEstablished
+    SheetApplied
+    | HostChanged
+    | EndpointChanged
+    | TermBegun
+    | TermEstablished
+    | BatchApplied
 )
--- a/chivescale/state/_state.py
+++ b/chivescale/state/_state.py
@@ -5,6 +5,7 @@
 from chivescale.errors import ErrorKind, Failure
 from chivescale.messages import (
     AcceptSheet,
+    Batch,
     BeginTerm,
     Command,
     DrainHost,
@@ -23,7 +24,7 @@
 )
 from chivescale.state import _commands
 from chivescale.state._image import Image
-from chivescale.state._results import Result
+from chivescale.state._results import BatchApplied, Result
 from chivescale.state._table import Table
 
 # Entry hosts that are further behind receive the full state instead; an
@@ -112,6 +113,13 @@
         if index <= self.index:
             raise AssertionError(f"index {index} applied after {self.index}")
         self.index = index
+        if isinstance(command, Batch):
+            return BatchApplied(
+                tuple(
+                    _HANDLERS[type(each)](self, index, each)
+                    for each in command.commands
+                )
+            )
         return _HANDLERS[type(command)](self, index, command)
 
     def put(self, kind: str, name: str, record: msgspec.Struct) -> None:
--- a/chivescale/transport/__init__.py
+++ b/chivescale/transport/__init__.py
@@ -2,5 +2,14 @@
 
 from chivescale.transport._client import Client
 from chivescale.transport._server import Request, Route, Server, reply_failure
+from chivescale.transport._tls import client_tls, server_tls
 
-__all__ = ["Client", "Request", "Route", "Server", "reply_failure"]
+__all__ = [
+    "Client",
+    "Request",
+    "Route",
+    "Server",
+    "client_tls",
+    "reply_failure",
+    "server_tls",
+]
