--- /dev/null
+++ b/chivescale/cli/tests/cli.feature
@@ -0,0 +1,95 @@
+Feature: Operator's command line
+  Guards against an exit code or message that tells an operator the wrong
+  thing, and against a sheet that is applied twice or left in doubt when its
+  answer is lost.
+
+  Scenario Outline: Exit codes without a system
+    Given a folder with the usual files
+    When the operator runs "<command>"
+    Then the exit code is <code> and "<text>" is printed
+
+    Examples:
+      | command                                   | code | text                  |
+      | sheet check good.csv                      | 0    | workspaces  1         |
+      | sheet check good.csv --json               | 0    | "workspace_count": 1  |
+      | sheet check bad.csv                       | 1    | bad.csv: row 3 column secret_hash |
+      | sheet check bad.csv --json                | 1    | "column": "secret_hash" |
+      | sheet check none.csv                      | 2    | none.csv: No such file |
+      | sheet diff good.csv --old good.csv        | 0    | no changes            |
+      | sheet diff good.csv --old other.csv       | 0    | max_rate: 7.0 -> 0.0  |
+      | sheet diff good.csv --old bad.csv         | 1    | bad.csv: row 3        |
+      | sheet diff good.csv                       | 2    | give --settings       |
+      | sheet apply bad.csv --number 1 {access}   | 1    | bad.csv: row 3        |
+      | sheet apply good.csv --number 0 {access}  | 2    |                       |
+      | sheet apply good.csv --number 1.5 {access} | 2   |                       |
+      | sheet apply good.csv {access}             | 2    |                       |
+      | sheet apply good.csv --number 1 {access}  | 3    | unreachable           |
+      | status {access}                           | 3    | unreachable           |
+      | status --control localhost:1 --secret-file secret | 2 | is no ip:port    |
+      | status --control 127.0.0.1:1 --secret-file short | 2 | 5 bytes, expected 16 |
+      | status --settings none.toml               | 2    | none.toml: No such file |
+      | status {access} --timeout nan             | 2    |                       |
+      | drain entry-1 {access}                    | 3    | unreachable           |
+      | control replace c1 {access}               | 3    | unreachable           |
+      | check-settings good.toml                  | 0    | good.toml: ok         |
+      | check-settings good.toml copy.toml        | 2    | host.name: also in    |
+      | check-settings bad.toml                   | 2    | bad.toml: host: section is missing |
+      | data check .                              | 1    | holds no control data |
+      | data check none                           | 2    | no such folder        |
+      | data snapshot .                           | 2    | holds no control data |
+      | no-such-command                           | 2    |                       |
+
+  Scenario Outline: Hashing a secret
+    When the secret <secret> is hashed
+    Then the exit code is <code> and "<text>" is printed
+
+    Examples:
+      | secret       | code | text                                     |
+      | secret       | 0    | 14e65567abdb5135d0cfd9a70b3032c179a49ee7 |
+      | secret\n     | 0    | 14e65567abdb5135d0cfd9a70b3032c179a49ee7 |
+      | secret\r\n   | 0    | 14e65567abdb5135d0cfd9a70b3032c179a49ee7 |
+      | \n           | 2    | expected a secret                        |
+
+  Scenario: The hash logs in where the server computes its own
+    Then the hash is that of the server's mysql_native_password
+
+  Scenario Outline: A sheet is applied through any control host
+    Given control hosts of which <leader> leads and the operator knows <known>
+    And the leader <behaves>
+    When the operator runs "sheet apply good.csv --number 4 {control}"
+    Then the exit code is <code> and "<text>" is printed
+    And the leader holds <sheets> sheets
+
+    Examples:
+      | leader | known | behaves                        | code | text               | sheets |
+      | 1      | 1     | works                          | 0    | sheet 4 accepted   | 1      |
+      | 2      | 1     | works                          | 0    | sheet 4 accepted   | 1      |
+      | 2      | 1     | loses its first answer         | 0    | accepted (again)   | 1      |
+      | 1      | 1     | loses every answer             | 4    | --number 4 to learn | 1     |
+      | 1      | 1     | has another sheet of number 4  | 1    | sheet_conflict     | 1      |
+      | 1      | 1     | has a sheet of number 5        | 1    | stale_sheet        | 1      |
+      | 1      | 1     | has another secret             | 1    | signature_invalid  | 0      |
+      | 3      | 1     | works                          | 3    | not_leader         | 0      |
+
+  Scenario: The next number follows the one in force
+    Given control hosts of which 1 leads and the operator knows 1
+    And the leader has a sheet of number 5
+    When the operator runs "sheet apply good.csv --next {control}"
+    Then the exit code is 0 and "sheet 6 accepted" is printed
+
+  Scenario: A data folder gives its sheet back
+    Given a data folder with a snapshot and later entries
+    When the operator runs "data check folder"
+    Then the exit code is 0 and "last_index      3" is printed
+    When the operator runs "data snapshot folder"
+    Then the exit code is 0 and "sheet_number  2" is printed
+    When the operator runs "data snapshot folder --csv"
+    Then the output is the sheet of the last entry
+
+  Scenario: Damage inside a data folder is reported
+    Given a data folder with a snapshot and later entries
+    And a damaged byte in its first record
+    When the operator runs "data check folder"
+    Then the exit code is 1 and "storage_corrupt" is printed
+    When the operator runs "data snapshot folder"
+    Then the exit code is 1 and "storage_corrupt" is printed
