--- a/chivescale_standin/_values.py
+++ b/chivescale_standin/_values.py
@@ -100,6 +100,7 @@
     (re.compile(r"CHECK constraint"), 3819, "HY000"),
     (re.compile(r"no such table"), 1146, "42S02"),
     (re.compile(r"table .* already exists"), 1050, "42S01"),
+    (re.compile(r"index .* already exists"), 1061, "42000"),
     (re.compile(r"no such column|has no column"), 1054, "42S22"),
     (re.compile(r"no such function"), 1305, "42000"),
     (re.compile(r"no such savepoint"), 1305, "42000"),
