--- a/chivescale/mysql/_server.py
+++ b/chivescale/mysql/_server.py
@@ -131,7 +131,7 @@
                     return
             await self._run(connection)
         except (MalformedPacket, PacketTooLarge) as err:
-            log_event("login_malformed", "warning", error=repr(err))
+            log_event("login_malformed", "debug", error=repr(err))
         except (ConnectionEnded, TimeoutError, OSError) as err:
             log_event("connection_lost", "debug", error=repr(err))
         except Exception as err:  # one caller must not end the process
