Wait shortly for a replica before a barrier read uses the primary

Cause: after the kill in make demo only two endpoints are up, so the primary answers each barrier and is ahead of the replica by the replication lag; all token-free reads went to the primary until the third endpoint was back. Ruled out: the barrier's preference for replicas, which worked before the kill. Change: such a read waits up to 30 ms for one replica to reach the barrier; calls share one ask; a replica that misses the bound is skipped for 1 s.

--- a/chivescale/pipeline/_gate.py
+++ b/chivescale/pipeline/_gate.py
@@ -44,6 +44,7 @@
         self.latency_s = 0.0
         self.leaving = record.leaving
         self.suspect_until = 0.0
+        self.behind_until = 0.0
         self.timer: asyncio.TimerHandle | None = None
 
     @property
--- a/chivescale/pipeline/_read.py
+++ b/chivescale/pipeline/_read.py
@@ -14,8 +14,12 @@
 from chivescale.session import Token, parse_token
 
 MAX_ATTEMPTS = 6
-# Part of the remaining time that a read without any eligible endpoint waits
-# for one before it fails.
+# With one replica down, the primary takes part in each barrier and is ahead
+# of the remaining replica by the replication lag. Waiting this long for the
+# replica keeps the read off the primary.
+REPLICA_WAIT_S = 0.03
+# A replica that did not catch up in time is not waited for again this long.
+BEHIND_S = 1.0
 _ELSEWHERE = {
     ErrorKind.TIMEOUT,
     ErrorKind.UNREACHABLE,
@@ -70,9 +74,43 @@
         gate = _choose(call, plan)
     if is_failure(gate):
         return gate
+    if plan.barrier and gate is call.service.primary():
+        gate = await _prefer_replica(call, gate, plan)
     return await _run(call, gate, plan)
 
 
+async def _prefer_replica(
+    call: Call, primary: EndpointGate, plan: _Plan
+) -> EndpointGate:
+    """Return a replica that reaches the barrier shortly, or the primary."""
+    now = time.monotonic()
+    if _left(call) < 4 * REPLICA_WAIT_S:
+        return primary
+    view = call.service.view
+    near = [
+        gate
+        for gate in call.service.gates.values()
+        if gate is not primary
+        and not gate.leaving
+        and gate.suspect_until <= now
+        and gate.behind_until <= now
+        and gate.in_use < gate.limit.limit
+        and view.freshness.promised_ok(
+            gate.record.endpoint, plan.promised_term
+        )
+    ]
+    if not near:
+        return primary
+    gate = min(
+        near, key=lambda gate: gate.record.zone != call.environment.zone
+    )
+    name = gate.record.endpoint
+    if await view.wait_position(name, plan.need.position, REPLICA_WAIT_S):
+        return gate
+    gate.behind_until = now + BEHIND_S
+    return primary
+
+
 async def _plan(call: Call, token: Token | None, force: bool):
     """Return what the read needs, after a barrier where one is due."""
     position = call.state.position
--- a/chivescale/pipeline/_service.py
+++ b/chivescale/pipeline/_service.py
@@ -55,6 +55,7 @@
         self.last_id = 0
         self.quorum_at = float("-inf")
         self.tasks: set[asyncio.Task] = set()
+        self.position_waits: dict[tuple, asyncio.Task] = {}
         self.timers: dict[str, asyncio.TimerHandle] = {}
         self.changed = asyncio.Event()
 
@@ -112,9 +113,16 @@
     async def wait_position(
         self, endpoint: str, position: Position, wait_s: float
     ) -> bool:
-        """Wait until an endpoint holds `position`."""
-        path = _position_path(position, int(wait_s * 1000))
-        status = await self._ask(endpoint, path, wait_s + 0.2)
+        """Wait until an endpoint holds `position`; calls share one ask."""
+        key = (endpoint, position)
+        task = self.position_waits.get(key)
+        if task is None:
+            path = _position_path(position, int(wait_s * 1000))
+            task = self._spawn(self._ask(endpoint, path, wait_s + 0.2))
+            self.position_waits[key] = task
+            task.add_done_callback(lambda _: self.position_waits.pop(key))
+        # One caller that leaves must not cancel the ask of the others.
+        status = await asyncio.shield(task)
         return status is not None and status.last >= position
 
     async def status_of(self, endpoint: str) -> EndpointStatus | None:
@@ -198,10 +206,11 @@
             delay, handle, decisions.Tick()
         )
 
-    def _spawn(self, coroutine) -> None:
+    def _spawn(self, coroutine) -> asyncio.Task:
         task = asyncio.ensure_future(coroutine)
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
+        return task
 
     def _start_round(self, effect: decisions.StartRound) -> None:
         for endpoint in effect.endpoints:
