--- a/chivescale/pipeline/_gate.py
+++ b/chivescale/pipeline/_gate.py
@@ -52,15 +52,6 @@
         """Statements running or waiting."""
         return self.limit.in_use + len(self.queue)
 
-    def enter_at_once(self) -> None:
-        """Take a place above the limit; needs one `leave`.
-
-        For statements of an open transaction: it may hold locks that the
-        statements inside the endpoint wait for, so making it wait for
-        their places would stop all of them.
-        """
-        self.limit.in_use += 1
-
     async def enter(self, workspace: str, deadline: float) -> Failure | None:
         """Wait for a place; every None needs one `leave`."""
         now = time.monotonic()
@@ -78,6 +69,14 @@
                 self._give_back()
             raise
 
+    def join(self) -> None:
+        """Take a place at once, above the limit if need be.
+
+        For statements of an open transaction. Writers that wait for its
+        locks hold places, so it would wait for them and they for it.
+        """
+        self.limit.in_use += 1
+
     def leave(self, latency_s: float, ok: bool) -> None:
         """Return a place and let the next statements in."""
         self.limit.release(latency_s, ok, time.monotonic())
@@ -137,8 +136,6 @@
 ) -> QueryResult | Failure:
     """Run one statement on a connection once the gate lets it in.
 
-    A statement inside a transaction does not wait at the gate.
-
     Returns
     -------
     QueryResult or Failure
@@ -146,7 +143,7 @@
     """
     arrived = time.monotonic()
     if connection.in_transaction:
-        gate.enter_at_once()
+        gate.join()
     else:
         refused = await gate.enter(workspace, deadline)
         if refused is not None:
