--- a/chivescale/failover/_failover.py
+++ b/chivescale/failover/_failover.py
@@ -11,7 +11,7 @@
     plan_voters,
     quorum,
 )
-from chivescale.messages import EndpointStatus
+from chivescale.messages import EndpointStatus, ServiceRecord
 
 STABLE = "stable"
 
@@ -36,6 +36,11 @@
 HANDOVER_LAG_ENTRIES = 50
 HANDOVER_PATIENCE_S = 1.0
 
+# How long to leave a term alone that another host began during this
+# leadership. That host still believes to lead; two hosts that at once begin
+# terms above each other's would establish none.
+FOREIGN_TERM_S = 1.0
+
 # Planned changes that failed are not repeated sooner than this.
 PLANNED_RETRY_S = 1.0
 
@@ -80,6 +85,11 @@
         self.followed_at: dict[str, float] = {}
         self.asked_at: dict[str, float] = {}
 
+    @property
+    def own_term(self) -> int:
+        """Last term that this instance reserved."""
+        return self.attempt.term if self.attempt else self.last_term
+
     @property
     def phase(self) -> str:
         """Name of the present phase."""
@@ -106,12 +116,13 @@
         """Keep what the event says about the group."""
         group = self.group
         if isinstance(event, ev.StateApplied):
-            before = group.record.term
+            before = group.record
             group.apply(event)
-            if group.record.term != before:
-                self.established_at = now
-                self.followed_at = {}
-                self.leaving_since = None
+            self._record_changed(before, now)
+        elif isinstance(event, ev.Committed):
+            before = group.record
+            group.advance(event.record)
+            self._record_changed(before, now)
         elif isinstance(event, ev.Announced):
             group.learn(event.status, now)
         elif isinstance(event, ev.PositionAnswered):
@@ -123,6 +134,17 @@
         elif isinstance(event, ev.Tick):
             group.forget(now)
 
+    def _record_changed(self, before: ServiceRecord, now: float) -> None:
+        record = self.group.record
+        known = (before.begun_term, self.own_term)
+        if before.begun_term and record.begun_term not in known:
+            pause_s = FOREIGN_TERM_S * self.rng.uniform(1, 2)
+            self.not_before = max(self.not_before, now + pause_s)
+        if record.term != before.term:
+            self.established_at = now
+            self.followed_at = {}
+            self.leaving_since = None
+
     # running attempt
 
     def _drive(self, event: object, now: float) -> list[object]:
--- a/chivescale/failover/_group.py
+++ b/chivescale/failover/_group.py
@@ -33,12 +33,23 @@
 
     def apply(self, event: StateApplied) -> None:
         """Take over the applied state."""
-        self.record = event.record
+        self.advance(event.record)
         self.endpoints = {
             record.endpoint: record for record in event.endpoints
         }
         self.zone_hosts = event.zone_hosts
 
+    def advance(self, record: ServiceRecord) -> None:
+        """Take over a record unless a newer one is known.
+
+        The answer to a proposal can arrive before or after the state that
+        it led to.
+        """
+        known = self.record
+        terms = (record.begun_term, record.term)
+        if terms >= (known.begun_term, known.term):
+            self.record = record
+
     def learn(
         self,
         status: EndpointStatus,
--- a/chivescale/failover/tests/failover_driver.py
+++ b/chivescale/failover/tests/failover_driver.py
@@ -460,6 +460,8 @@
     def heal_all(self) -> None:
         self.cut.clear()
         self.stuck.clear()
+        while len(self.leaders) > 1:
+            self.do_new_leader(None)
         for endpoint in self.endpoints.values():
             endpoint.frozen_until = 0.0
             if not endpoint.up or endpoint.leaving:
