Test endpoint connections; bound memory before the login

Cause: a greeting that is too short raised struct.error out of connect(); the scenario 'a server that greets with noise' found it. Connect now turns every driver error into a Failure.

--- a/chivescale/mysql/_client.py
+++ b/chivescale/mysql/_client.py
@@ -202,7 +202,7 @@
     except TimeoutError:
         reason = f"{address}: no connection in time"
         return Failure(ErrorKind.UNREACHABLE, reason)
-    except (OSError, ValueError, RuntimeError, IndexError) as err:
+    except Exception as err:  # unreadable greetings raise many types
         driver.close()
         return Failure(ErrorKind.UNREACHABLE, f"{address}: {err!r}")
     return ClientConnection(driver, address)
--- a/chivescale/mysql/_server.py
+++ b/chivescale/mysql/_server.py
@@ -28,6 +28,7 @@
     ServerOptions,
 )
 from chivescale.mysql._stream import (
+    MAX_HANDSHAKE_BYTES,
     ConnectionEnded,
     PacketStream,
     PacketTooLarge,
@@ -206,12 +207,9 @@
             lambda: protocol, sock, ssl=tls
         )
         writer = asyncio.StreamWriter(transport, protocol, reader, loop)
+        # Until the login is accepted nobody may occupy much memory.
         return PacketStream(
-            reader,
-            writer,
-            sequence,
-            self.options.max_packet_bytes,
-            self.options.write_s,
+            reader, writer, sequence, MAX_HANDSHAKE_BYTES, self.options.write_s
         )
 
     async def _log_in(self, connection: CallerConnection) -> bool:
@@ -235,6 +233,7 @@
         await connection.stream.send(
             [make_ok(connection.capabilities, status)]
         )
+        connection.stream.limit = self.options.max_packet_bytes
         return True
 
     async def _switch_plugin(self, connection: CallerConnection) -> bytes:
