--- a/chivescale/entry/_services.py
+++ b/chivescale/entry/_services.py
@@ -105,6 +105,7 @@
         pool = Pool(
             record,
             self.connect,
+            time.monotonic,
             connect_timeout_s=self.settings.connect_timeout_ms / 1000,
             idle_s=self.settings.idle_s,
         )
--- /dev/null
+++ b/chivescale/entry/tests/virtual_time.py
@@ -0,0 +1,86 @@
+"""Event loop whose clock jumps to the next timer."""
+
+import asyncio
+import contextlib
+import random
+import selectors
+import time
+from unittest import mock
+
+
+class _Selector(selectors.SelectSelector):
+    """Advances the loop's clock instead of waiting."""
+
+    def __init__(self):
+        super().__init__()
+        self.loop: VirtualLoop | None = None
+
+    def select(self, timeout=None):
+        """Return no events after moving the clock by `timeout`."""
+        if timeout is None:
+            raise RuntimeError("nothing is scheduled: the run is stuck")
+        if timeout > 0:
+            self.loop.now += timeout
+        return []
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """Runs timers in order without waiting; executors run inline."""
+
+    def __init__(self):
+        self.now = 1000.0
+        selector = _Selector()
+        super().__init__(selector)
+        selector.loop = self
+
+    def time(self) -> float:
+        """Return virtual seconds."""
+        return self.now
+
+    def run_in_executor(self, executor, func, *args):
+        """Call `func` at once."""
+        future = self.create_future()
+        try:
+            future.set_result(func(*args))
+        except Exception as err:
+            future.set_exception(err)
+        return future
+
+
+@contextlib.contextmanager
+def virtual_time(seed: int):
+    """Run the block with virtual time and seeded randomness.
+
+    Yields
+    ------
+    VirtualLoop
+        Loop whose clock `time.monotonic` follows.
+    """
+    loop = VirtualLoop()
+    source = random.Random(seed)
+    real_random = random.Random
+
+    def seeded(value=None):
+        return real_random(source.random() if value is None else value)
+
+    def token(size=16):
+        return source.randbytes(size).hex()
+
+    with (
+        mock.patch.object(time, "monotonic", loop.time),
+        mock.patch.object(random, "Random", seeded),
+        mock.patch("secrets.token_hex", token),
+    ):
+        try:
+            yield loop
+        finally:
+            _finish(loop)
+
+
+def _finish(loop: VirtualLoop) -> None:
+    tasks = asyncio.all_tasks(loop)
+    for task in tasks:
+        task.cancel()
+    if tasks:
+        loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
+    loop.close()
