--- a/chivescale_standin/_replica.py
+++ b/chivescale_standin/_replica.py
@@ -171,17 +171,19 @@
         if following is None or not self.buffer or self.group.rebuilding:
             await self.group.wait(time.monotonic() + 1.0)
             return
-        wait_s = self.buffer[0][0] + self.faults.lag_s - time.monotonic()
+        now, lag_s = time.monotonic(), self.faults.lag_s
+        wait_s = self.buffer[0][0] + lag_s - now
         if wait_s > 0:
             # A changed lag takes effect soon.
             await asyncio.sleep(min(wait_s, RETRY_S))
             return
-        due = time.monotonic() - self.faults.lag_s
         entries = []
+        # The same sum as above: with another rounding, nothing might be due
+        # and the loop would spin.
         while (
             self.buffer
-            and self.buffer[0][0] <= due
-            and (len(entries) < REBUILD_BATCH)
+            and self.buffer[0][0] + lag_s - now <= 0
+            and len(entries) < REBUILD_BATCH
         ):
             entries.append(self.buffer.popleft()[1])
         try:
