--- a/chivescale/agreement/__init__.py
+++ b/chivescale/agreement/__init__.py
@@ -1,5 +1,6 @@
 """Replicated log of the control hosts."""
 
+from chivescale.agreement._callbacks import Callbacks
 from chivescale.agreement._durable import DurableLog
 from chivescale.agreement._events import (
     Appended,
@@ -26,7 +27,7 @@
     Timing,
 )
 from chivescale.agreement._folder import FolderReport, check_folder
-from chivescale.agreement._host import AgreementHost, Callbacks, Outcome
+from chivescale.agreement._host import AgreementHost
 from chivescale.agreement._machine import Agreement
 from chivescale.agreement._messages import (
     AgreementMessage,
@@ -41,6 +42,7 @@
     VoteReply,
     VoteRequest,
 )
+from chivescale.agreement._waiters import Outcome
 
 __all__ = [
     "Agreement",
--- a/chivescale/agreement/_host.py
+++ b/chivescale/agreement/_host.py
@@ -1,13 +1,10 @@
 """The asyncio shell around the agreement state machine."""
 
 import asyncio
-import collections.abc
 import random
 import time
-import typing
-
-import msgspec
 
+from chivescale.agreement._callbacks import Callbacks
 from chivescale.agreement._durable import DurableLog
 from chivescale.agreement._events import (
     Appended,
@@ -43,6 +40,7 @@
     VoteReply,
 )
 from chivescale.agreement._peers import Peers
+from chivescale.agreement._waiters import Outcome, Waiters, resolve, until
 from chivescale.errors import ErrorKind, Failure, is_failure
 from chivescale.settings import AgreementSettings, ControlMember
 from chivescale.telemetry import log_event
@@ -51,42 +49,6 @@
 SNAPSHOT_LIMIT_BYTES = 64 << 20
 
 
-class Callbacks(msgspec.Struct):
-    """What the host does with the log; plain functions.
-
-    Attributes
-    ----------
-    apply : callable
-        ``(index, command) -> result`` for each committed command, in order.
-    snapshot : callable
-        ``() -> bytes``: the state after the last applied command.
-    restore : callable
-        ``(bytes) -> None``: replaces the state.
-    leadership : callable
-        ``(leading, term) -> None``: this host began or ended to lead. It
-        begins when all commands of earlier leaders are applied.
-    """
-
-    apply: collections.abc.Callable[[int, bytes], typing.Any]
-    snapshot: collections.abc.Callable[[], bytes]
-    restore: collections.abc.Callable[[bytes], None]
-    leadership: collections.abc.Callable[[bool, int], None]
-
-
-class Outcome(msgspec.Struct):
-    """A committed command: its log index and the result of its apply."""
-
-    index: int
-    result: typing.Any = None
-
-
-class Waiter(msgspec.Struct):
-    """A caller that waits for the entry of one term."""
-
-    term: int
-    future: asyncio.Future
-
-
 class AgreementHost:
     """One member of the group that keeps the replicated log.
 
@@ -133,9 +95,7 @@
         self.peers = Peers(client, self.timing, self._on_answer)
         self.machine: Agreement | None = None
         self.failure: Failure | None = None
-        self.last_ticket = 0
-        self.tickets: dict[int, list[asyncio.Future]] = {}
-        self.waiters: dict[int, Waiter] = {}
+        self.waiters = Waiters()
         self.queue: list[tuple[bytes, asyncio.Future]] = []
         self.timer: asyncio.TimerHandle | None = None
         self.replies: list[AgreementMessage] | None = None
@@ -247,7 +207,7 @@
             asyncio.get_running_loop().call_soon(self._flush)
         reason = "no quorum confirmed the command before the deadline"
         unknown = Failure(ErrorKind.OUTCOME_UNKNOWN, reason)
-        return await _until(future, deadline, unknown)
+        return await until(future, deadline, unknown)
 
     async def confirm_read(self, deadline: float) -> int | Failure:
         """Prove that this host leads.
@@ -286,20 +246,15 @@
         if self.failure is not None:
             return self.failure
         future = asyncio.get_running_loop().create_future()
-        self._step(event_type(self._ticket([future]), *args))
-        return await _until(future, deadline, late)
-
-    def _ticket(self, futures: list[asyncio.Future]) -> int:
-        self.last_ticket += 1
-        self.tickets[self.last_ticket] = futures
-        return self.last_ticket
+        self._step(event_type(self.waiters.ticket([future]), *args))
+        return await until(future, deadline, late)
 
     def _flush(self) -> None:
         queue, self.queue = self.queue, []
         if not queue or self.failure is not None:
             return
         commands = tuple(command for command, _ in queue)
-        ticket = self._ticket([future for _, future in queue])
+        ticket = self.waiters.ticket([future for _, future in queue])
         self._step(Propose(ticket, commands))
 
     # Messages.
@@ -373,13 +328,11 @@
             case TakeSnapshot(index):
                 return SnapshotTaken(index, self.callbacks.snapshot())
             case Appended(ticket, first_index, term):
-                futures = self.tickets.pop(ticket)
-                for index, future in enumerate(futures, first_index):
-                    self.waiters[index] = Waiter(term, future)
+                self.waiters.appended(ticket, first_index, term)
             case ReadConfirmed(ticket, index):
-                _resolve(self.tickets.pop(ticket), index)
+                self.waiters.answer(ticket, index)
             case Rejected(ticket, failure):
-                _resolve(self.tickets.pop(ticket), failure)
+                self.waiters.answer(ticket, failure)
             case LeadershipChanged(leading, term):
                 log_event(
                     "leadership", host=self.name, leading=leading, term=term
@@ -405,24 +358,11 @@
         result = None
         if entry.kind == COMMAND:
             result = self.callbacks.apply(entry.index, entry.data)
-        waiter = self.waiters.pop(entry.index, None)
-        if waiter is None:
-            return
-        if waiter.term == entry.term:
-            _resolve([waiter.future], Outcome(entry.index, result))
-            return
-        reason = "another leader replaced the command"
-        failure = Failure(
-            ErrorKind.NOT_LEADER, reason, redirect=self.leader_address
-        )
-        _resolve([waiter.future], failure)
+        self.waiters.applied(entry, result, self.leader_address)
 
     def _restore(self, snapshot) -> None:
         self.callbacks.restore(snapshot.data)
-        reason = "the command's entry was replaced by a snapshot"
-        unknown = Failure(ErrorKind.OUTCOME_UNKNOWN, reason)
-        for index in [i for i in self.waiters if i <= snapshot.index]:
-            _resolve([self.waiters.pop(index).future], unknown)
+        self.waiters.covered(snapshot.index)
 
     def _stop(self, failure: Failure) -> None:
         """End taking part: no votes, no answers, no messages."""
@@ -434,34 +374,13 @@
         )
         if self.timer is not None:
             self.timer.cancel()
-        unknown = Failure(ErrorKind.OUTCOME_UNKNOWN, failure.reason)
-        for waiter in self.waiters.values():
-            _resolve([waiter.future], unknown)
-        for futures in self.tickets.values():
-            _resolve(futures, unknown)
-        _resolve([future for _, future in self.queue], failure)
-        self.waiters.clear()
-        self.tickets.clear()
+        self.waiters.end(failure)
+        resolve([future for _, future in self.queue], failure)
         self.queue.clear()
         if led:
             self.callbacks.leadership(False, self.machine.term)
 
 
-def _resolve(futures: list[asyncio.Future], value) -> None:
-    for future in futures:
-        if not future.done():
-            future.set_result(value)
-
-
-async def _until(future: asyncio.Future, deadline: float, late: Failure):
-    """Wait for a future; return `late` at the deadline."""
-    try:
-        async with asyncio.timeout_at(deadline):
-            return await future
-    except TimeoutError:
-        return late
-
-
 def _log_configuration(name: str, configuration: Configuration) -> None:
     members = ",".join(
         f"{member.name}/{member.incarnation[:8]}"
--- a/chivescale/agreement/_machine.py
+++ b/chivescale/agreement/_machine.py
@@ -2,7 +2,7 @@
 
 import random
 
-from chivescale.agreement import _election, _members, _replication
+from chivescale.agreement import _election, _follower, _members, _replication
 from chivescale.agreement._events import (
     Apply,
     ConfigurationChanged,
@@ -224,9 +224,9 @@
             case VoteReply():
                 _election.on_vote_reply(self, message, now)
             case AppendRequest():
-                _replication.on_append(self, message, now)
+                _follower.on_append(self, message, now)
             case SnapshotRequest():
-                _replication.on_snapshot(self, message, now)
+                _follower.on_snapshot(self, message, now)
             case AppendReply():
                 if header.term > self.term:
                     self.become_follower(header.term, None, now)
--- a/chivescale/agreement/_replication.py
+++ b/chivescale/agreement/_replication.py
@@ -1,4 +1,4 @@
-"""Log replication, commit, read confirmation and the quorum check."""
+"""Leader side of replication: commit, read rounds and quorum check."""
 
 import msgspec
 
@@ -15,7 +15,6 @@
     AppendRequest,
     Configuration,
     Entry,
-    Header,
     Member,
     SnapshotRequest,
 )
@@ -197,100 +196,6 @@
     machine.send(member.address, request)
 
 
-# Follower side.
-
-
-def _accept_leader(machine, header: Header, now: float) -> bool:
-    """Follow the sender unless its term is over."""
-    if header.term < machine.term:
-        return False
-    known = machine.configuration.find(header.sender)
-    address = known.address if known else ""
-    leader = Member(header.sender, address, header.sender_incarnation)
-    machine.become_follower(header.term, leader, now)
-    return True
-
-
-def _reply(machine, request, ok: bool, prev_index: int, match_index: int):
-    reply = AppendReply(
-        header=machine.reply_header(request.header),
-        ok=ok,
-        prev_index=prev_index,
-        match_index=match_index,
-        round=request.round,
-    )
-    machine.send(machine.leader_address, reply)
-
-
-def on_append(machine, request: AppendRequest, now: float) -> None:
-    """Take over entries of the leader."""
-    prev = request.prev_index
-    if not _accept_leader(machine, request.header, now):
-        _reply(machine, request, False, prev, 0)
-        return
-    if not _matches(machine, request):
-        _reply(machine, request, False, prev, _match_hint(machine, prev))
-        return
-    for entry in request.entries:
-        _take_over(machine, entry)
-    last = prev + len(request.entries)
-    machine.commit = max(machine.commit, min(request.commit, last))
-    _reply(machine, request, True, prev, last)
-
-
-def _matches(machine, request: AppendRequest) -> bool:
-    log, prev = machine.log, request.prev_index
-    if prev > log.last_index:
-        return False
-    if prev < log.base_index or prev == 0:
-        return True
-    same = log.term_at(prev) == request.prev_term
-    require(same or prev > machine.commit, "committed entry differs")
-    return same
-
-
-def _match_hint(machine, prev: int) -> int:
-    """Return the highest index at which the logs may agree.
-
-    A conflicting term is skipped as a whole, so that a long divergent
-    tail costs one message per term instead of one per entry.
-    """
-    log = machine.log
-    if prev > log.last_index:
-        return log.last_index
-    term, index = log.term_at(prev), prev
-    while index > machine.commit and log.term_at(index) == term:
-        index -= 1
-    return index
-
-
-def _take_over(machine, entry: Entry) -> None:
-    log = machine.log
-    if entry.index <= log.base_index:
-        return
-    if entry.index <= log.last_index:
-        if log.term_at(entry.index) == entry.term:
-            same = log.entry(entry.index) == entry
-            require(same, "two entries with one index and term")
-            return
-        machine.truncate_from(entry.index)
-    machine.append(entry)
-
-
-def on_snapshot(machine, request: SnapshotRequest, now: float) -> None:
-    """Take over a snapshot of the leader."""
-    index = request.snapshot.index
-    if not _accept_leader(machine, request.header, now):
-        _reply(machine, request, False, index, 0)
-        return
-    if index > machine.commit:
-        machine.install(request.snapshot)
-    _reply(machine, request, True, index, index)
-
-
-# Leader side.
-
-
 def on_reply(machine, reply: AppendReply, now: float) -> None:
     """Note the progress of a member and send what follows."""
     header = reply.header
--- /dev/null
+++ b/chivescale/agreement/tests/fakes.py
@@ -0,0 +1,372 @@
+"""In-memory network, disks and clocks for several `Agreement` machines.
+
+Everything is driven by one seed. The world checks while it runs that
+committed entries agree on all members, that a term has one leader, that
+confirmed reads see every write acknowledged before them, and at the end
+that no acknowledged write is lost and that the healed group makes progress.
+"""
+
+import heapq
+import itertools
+import math
+import random
+
+import msgspec
+
+from chivescale import agreement as ag
+
+NAMES = ("c0", "c1", "c2", "c3", "c4")
+TIMING = ag.Timing(snapshot_entries=40)
+# Time for a healed group to elect, readmit two members and catch up; an
+# election needs under 0.4 s, a lost snapshot is repeated after 5 s.
+HEAL_S = 20.0
+
+
+class Disk(msgspec.Struct):
+    """What survives a restart of one member."""
+
+    incarnation: str
+    hard_state: ag.HardState = ag.HardState()
+    snapshot: ag.Snapshot | None = None
+    entries: list[ag.Entry] = msgspec.field(default_factory=list)
+
+    def persist(self, hard_state, entries) -> None:
+        """Store one record."""
+        self.hard_state = hard_state or self.hard_state
+        for entry in entries:
+            self.entries = [e for e in self.entries if e.index < entry.index]
+            self.entries.append(entry)
+
+    def recovered(self) -> ag.Recovered:
+        """Return what a start finds."""
+        return ag.Recovered(
+            self.incarnation,
+            self.hard_state,
+            self.snapshot,
+            tuple(self.entries),
+        )
+
+
+class Host(msgspec.Struct):
+    """One member: its disk, its machine while it runs, its state."""
+
+    name: str
+    disk: Disk
+    rate: float
+    machine: ag.Agreement | None = None
+    state: list = msgspec.field(default_factory=list)
+    frozen_until: float = 0.0
+    wakeup: float = math.inf
+
+
+class World:
+    """Members, the network between them and the checks.
+
+    Parameters
+    ----------
+    seed : int
+        Source of every random choice.
+    names : tuple of str
+        Initial members.
+    """
+
+    def __init__(self, seed: int, names: tuple[str, ...] = NAMES):
+        self.rng = random.Random(seed)
+        self.now = 0.0
+        self.names = names
+        self.initial = ag.Configuration(
+            tuple(ag.Member(name, name) for name in names)
+        )
+        self.numbers = itertools.count(1)
+        self.queue: list = []
+        self.cuts: set[tuple[str, str]] = set()
+        self.loss = 0.0
+        self.duplication = 0.0
+        self.reordering = False
+        self.crash_chance = 0.0
+        self.committed: dict[int, ag.Entry] = {}
+        self.leaders: dict[int, str] = {}
+        self.acknowledged: dict[bytes, int] = {}
+        self.pending: dict[tuple[str, int], tuple] = {}
+        self.tickets: dict[int, tuple] = {}
+        self.confirmed_reads = 0
+        self.deliveries = 0
+        self.hosts = {name: self._new_host(name) for name in names}
+        for name in names:
+            self.start(name)
+
+    def _new_host(self, name: str) -> Host:
+        disk = Disk(f"{name}-{next(self.numbers)}")
+        # Clock rates differ by up to 1% (section 2.12 of the design).
+        return Host(name, disk, self.rng.uniform(0.995, 1.005))
+
+    # Faults.
+
+    def start(self, name: str) -> None:
+        """Start a stopped member from its disk."""
+        host = self.hosts[name]
+        if host.machine is not None:
+            return
+        rng = random.Random(self.rng.random())
+        host.state = []
+        host.machine = ag.Agreement(
+            name, self.initial, host.disk.recovered(), TIMING, rng
+        )
+        self._step(host, ag.Tick())
+
+    def crash(self, name: str) -> None:
+        """Stop a member; only its disk remains."""
+        self.hosts[name].machine = None
+        self.hosts[name].wakeup = math.inf
+
+    def wipe(self, name: str) -> None:
+        """Stop a member and lose its disk."""
+        self.crash(name)
+        self.hosts[name].disk = Disk(f"{name}-{next(self.numbers)}")
+
+    def wipe_is_survivable(self, name: str) -> bool:
+        """Tell whether every known configuration keeps a quorum of disks."""
+        kept = {
+            (host.name, host.disk.incarnation)
+            for host in self.hosts.values()
+            if host.name != name
+        }
+        for host in self.hosts.values():
+            known = _stored_configurations(host.disk)
+            for configuration in known:
+                voters = {
+                    (m.name, m.incarnation) for m in configuration.voters
+                }
+                if len(voters & kept) < configuration.quorum:
+                    return False
+        return True
+
+    def freeze(self, name: str, seconds: float) -> None:
+        """Pause a member; what arrives meanwhile waits."""
+        self.hosts[name].frozen_until = self.now + seconds
+
+    def isolate(self, *group: str) -> None:
+        """Cut the members of a group off from all others."""
+        for inside in group:
+            for outside in set(self.names) - set(group):
+                self.cuts |= {(inside, outside), (outside, inside)}
+
+    def heal(self) -> None:
+        """End every fault and start every member."""
+        self.cuts.clear()
+        self.loss = self.duplication = self.crash_chance = 0.0
+        self.reordering = False
+        for host in self.hosts.values():
+            host.frozen_until = 0.0
+            self.start(host.name)
+
+    # Requests.
+
+    def leader(self) -> Host | None:
+        """Return the ready leader of the highest term."""
+        ready = [
+            host
+            for host in self.hosts.values()
+            if host.machine is not None and host.machine.ready
+        ]
+        return max(ready, key=lambda h: h.machine.term, default=None)
+
+    def propose(self, name: str | None = None, count: int = 1) -> list[bytes]:
+        """Propose commands on one member or on the leader."""
+        host = self.hosts[name] if name else self.leader()
+        if host is None or host.machine is None:
+            return []
+        commands = [b"command-%d" % next(self.numbers) for _ in range(count)]
+        ticket = next(self.numbers)
+        self.tickets[ticket] = tuple(commands)
+        self._step(host, ag.Propose(ticket, tuple(commands)))
+        return commands
+
+    def read(self, name: str) -> int:
+        """Ask one member for a confirmed read."""
+        host = self.hosts[name]
+        ticket = next(self.numbers)
+        # It has to see every write acknowledged before this moment.
+        floor = max(self.acknowledged.values(), default=0)
+        self.tickets[ticket] = (floor,)
+        if host.machine is not None:
+            self._step(host, ag.ConfirmRead(ticket))
+        return ticket
+
+    def change(self, event_type, name: str) -> int:
+        """Ask the leader for a change of members."""
+        leader = self.leader()
+        ticket = next(self.numbers)
+        if leader is not None:
+            self.tickets[ticket] = ()
+            self._step(leader, event_type(ticket, name))
+        return ticket
+
+    # Time.
+
+    def run(self, seconds: float, until=None) -> bool:
+        """Let time pass; stop early once `until` holds."""
+        end = self.now + seconds
+        while not (until and until()):
+            due = min(self.hosts.values(), key=self._wakeup)
+            next_message = self.queue[0][0] if self.queue else math.inf
+            at = min(self._wakeup(due), next_message)
+            if at > end:
+                self.now = end
+                return not until
+            self.now = max(self.now, at)
+            if next_message <= self._wakeup(due):
+                self._deliver(heapq.heappop(self.queue)[2])
+            else:
+                self._step(due, ag.Tick())
+        return True
+
+    def _wakeup(self, host: Host) -> float:
+        return max(host.wakeup, host.frozen_until)
+
+    def _deliver(self, message) -> None:
+        host = self.hosts[message.header.target]
+        if (message.header.sender, host.name) in self.cuts:
+            return
+        if host.frozen_until > self.now:
+            self._enqueue(host.frozen_until, message)
+        elif host.machine is not None:
+            self.deliveries += 1
+            self._step(host, ag.Received(message))
+
+    def _enqueue(self, at: float, message) -> None:
+        heapq.heappush(self.queue, (at, next(self.numbers), message))
+
+    def _transmit(self, message) -> None:
+        if message.header.target not in self.hosts:
+            return
+        if self.rng.random() < self.loss:
+            return
+        copies = 1 + (self.rng.random() < self.duplication)
+        for _ in range(copies):
+            delay = self.rng.uniform(0.0005, 0.003)
+            if self.reordering:
+                delay = 10 ** self.rng.uniform(-3.5, 0.7)
+            self._enqueue(self.now + delay, message)
+
+    # Steps and checks.
+
+    def _step(self, host: Host, event) -> None:
+        machine = host.machine
+        events = [event]
+        while events:
+            effects = machine.step(events.pop(0), self.now * host.rate)
+            survives = len(effects)
+            if self.crash_chance and self.rng.random() < self.crash_chance:
+                survives = self.rng.randrange(len(effects) + 1)
+            for effect in effects[:survives]:
+                events += self._execute(host, effect)
+            if survives < len(effects):
+                self.crash(host.name)
+                return
+        self._check_leader(host)
+        # The margin keeps a rounded tick from coming too early for ever.
+        host.wakeup = machine.next_wakeup() / host.rate + 1e-6
+
+    def _check_leader(self, host: Host) -> None:
+        machine = host.machine
+        if machine.role is ag.Role.LEADER:
+            known = self.leaders.setdefault(machine.term, machine.identity)
+            assert known == machine.identity, (
+                f"term {machine.term}: leaders {known}, {machine.identity}"
+            )
+
+    def _execute(self, host: Host, effect) -> list:
+        match effect:
+            case ag.Persist(hard_state, entries):
+                host.disk.persist(hard_state, entries)
+            case ag.SaveSnapshot(snapshot, hard_state, entries):
+                host.disk.snapshot = snapshot
+                host.disk.hard_state = hard_state
+                host.disk.entries = list(entries)
+            case ag.Restore(snapshot):
+                host.state = msgspec.json.decode(
+                    snapshot.data, type=list[ag.Entry]
+                )
+                self._check_state(host)
+            case ag.TakeSnapshot(index):
+                data = msgspec.json.encode(host.state)
+                return [ag.SnapshotTaken(index, data)]
+            case ag.Send(_, message):
+                self._transmit(message)
+            case ag.Apply(entry):
+                self._check_apply(host, entry)
+            case ag.Appended(ticket, first, term):
+                for at, command in enumerate(self.tickets[ticket], first):
+                    self.pending[host.disk.incarnation, at] = (term, command)
+            case ag.ReadConfirmed(ticket, index):
+                (floor,) = self.tickets[ticket]
+                assert index >= floor, f"read at {index}, written {floor}"
+                assert index <= host.machine.applied
+                self.confirmed_reads += 1
+        return []
+
+    def _check_apply(self, host: Host, entry: ag.Entry) -> None:
+        known = self.committed.setdefault(entry.index, entry)
+        assert known == entry, f"{host.name}: {entry} instead of {known}"
+        host.state.append(entry)
+        assert len(host.state) == entry.index, "applied out of order"
+        term, command = self.pending.pop(
+            (host.disk.incarnation, entry.index), (0, b"")
+        )
+        if term == entry.term:
+            self.acknowledged[command] = entry.index
+
+    def _check_state(self, host: Host) -> None:
+        for entry in host.state:
+            known = self.committed.get(entry.index)
+            assert known == entry, f"{host.name}: snapshot has {entry}"
+
+    def settle(self) -> None:
+        """Heal, readmit lost members, and check the whole outcome."""
+        self.heal()
+        assert self.run(HEAL_S, self._settled), "no progress after healing"
+        for name in self.names:
+            state = self.hosts[name].state
+            data = {entry.data: entry.index for entry in state}
+            for command, index in self.acknowledged.items():
+                assert data.get(command) == index, f"{name} lost {command}"
+            assert [self.committed[e.index] for e in state] == state
+
+    def _settled(self) -> bool:
+        """Propose until all members are voters and hold one new command."""
+        leader = self.leader()
+        if leader is None:
+            return False
+        members = leader.machine.configuration
+        if not members.formed:
+            return False
+        for name in self.names:
+            incarnation = self.hosts[name].disk.incarnation
+            found = members.find(name, incarnation)
+            if found is None and name in leader.machine.seen:
+                self.change(ag.ReplaceMember, name)
+            if found is None or not found.voter:
+                return False
+        if not self.propose(leader.name):
+            return False
+        index = leader.machine.log.last_index
+        return self.run(0.5, lambda: self._all_applied(index))
+
+    def _all_applied(self, index: int) -> bool:
+        return all(
+            host.machine is not None and host.machine.applied >= index
+            for host in self.hosts.values()
+        )
+
+
+def _stored_configurations(disk: Disk) -> list[ag.Configuration]:
+    """Return every configuration on a disk, committed or not."""
+    found = [disk.snapshot.configuration] if disk.snapshot else []
+    decode = msgspec.msgpack.decode
+    found += [
+        decode(entry.data, type=ag.Configuration)
+        for entry in disk.entries
+        if entry.kind == "configuration"
+    ]
+    return found
