--- /dev/null
+++ b/chivescale/state/tests/steps/state_steps.py
@@ -0,0 +1,264 @@
+"""Steps for the replicated state."""
+
+import hypothesis
+from behave import given, then, when
+from hypothesis import strategies as st
+
+from chivescale.errors import is_failure
+from chivescale.messages import (
+    AcceptSheet,
+    BeginTerm,
+    DrainHost,
+    EndpointRecord,
+    EstablishTerm,
+    HostRecord,
+    LeaveEndpoint,
+    RegisterEndpoint,
+    RegisterHost,
+    RemoveEndpoint,
+    RemoveHost,
+    ServiceRecord,
+    WorkspaceRecord,
+)
+from chivescale.state import ClusterState, _state
+
+NAMES = ("a", "b", "c")
+
+
+def _endpoint(name, service="s", incarnation="new") -> EndpointRecord:
+    return EndpointRecord(name, service, "z", incarnation, "m", "h", 2, 35)
+
+
+def _sheet(number, digest, services=("s",), workspaces=()) -> AcceptSheet:
+    return AcceptSheet(
+        number,
+        digest,
+        tuple(ServiceRecord(name) for name in services),
+        tuple(WorkspaceRecord(name, "hash") for name in workspaces),
+    )
+
+
+def _apply(context, command) -> None:
+    state = context.state
+    context.result = state.apply(state.index + 1, command)
+
+
+@given("sheet {number:d} with digest {digest} is in force")
+def sheet_in_force(context, number, digest):
+    context.state = ClusterState()
+    _apply(context, _sheet(number, digest))
+    assert context.result.index == context.state.index
+
+
+@when("sheet {number:d} with digest {digest} is applied")
+def apply_sheet(context, number, digest):
+    _apply(context, _sheet(number, digest))
+
+
+@then("the result is {expected}")
+def result_is(context, expected):
+    result = context.result
+    if is_failure(result):
+        assert result.kind.value == expected, result
+    else:
+        repeated = getattr(result, "repeated", False)
+        assert expected == ("repeated" if repeated else "accepted"), result
+
+
+@then("sheet {number:d} {digest} is in force")
+def check_sheet(context, number, digest):
+    sheet = context.state.sheet
+    assert (sheet.number, sheet.digest) == (number, digest)
+
+
+@given("a service with begun term {begun:d} and established term {term:d}")
+def service_with_terms(context, begun, term):
+    sheet_in_force(context, 5, "abc")
+    for value in sorted({term, begun}):
+        _apply(context, BeginTerm("s", value))
+        if value == term:
+            _apply(context, _establish(term))
+
+
+def _establish(term: int) -> EstablishTerm:
+    return EstablishTerm("s", term, "e1", ("e1",), ("new",), 1)
+
+
+@when("{command} of term {term:d} is applied")
+def apply_term(context, command, term):
+    begin = BeginTerm("s", term)
+    _apply(context, begin if command == "begin" else _establish(term))
+
+
+@then("the service has begun term {begun:d} and established term {term:d}")
+def check_terms(context, begun, term):
+    record = context.state.services["s"]
+    assert (record.begun_term, record.term) == (begun, term), record
+    assert record.primary == ("e1" if term else "")
+
+
+@when("sheet {number:d} without the service is applied")
+def apply_without(context, number):
+    _apply(context, _sheet(number, "x", ()))
+    data = context.state.to_bytes()
+    context.state = ClusterState.from_bytes(data)
+
+
+@when("sheet {number:d} with the service is applied")
+def apply_with(context, number):
+    _apply(context, _sheet(number, "x"))
+
+
+@then("the service is gone")
+def service_gone(context):
+    assert "s" not in context.state.services
+    assert ("service", "s") in context.state.changes_since(1).removed
+
+
+@given("an endpoint e1 of incarnation new that is a voter")
+def endpoint_voter(context):
+    service_with_terms(context, 1, 1)
+    _apply(context, RegisterEndpoint(_endpoint("e1")))
+
+
+@when("{command} for {name} of incarnation {incarnation} is applied")
+def apply_endpoint(context, command, name, incarnation):
+    kind = {"leave": LeaveEndpoint, "remove": RemoveEndpoint}[command]
+    _apply(context, kind(name, incarnation))
+
+
+def _commands():
+    names = st.sampled_from(NAMES)
+    incarnations = st.sampled_from(("i1", "i2"))
+    terms = st.integers(1, 5)
+    groups = st.frozensets(names).map(sorted).map(tuple)
+    return st.one_of(
+        st.builds(_sheet, st.integers(1, 6), names, groups, groups),
+        st.builds(
+            lambda n, i: RegisterHost(HostRecord(n, "z", "a", "m", i)),
+            names,
+            incarnations,
+        ),
+        st.builds(RemoveHost, names, incarnations),
+        st.builds(DrainHost, names),
+        st.builds(
+            lambda n, s, i: RegisterEndpoint(_endpoint(n, s, i)),
+            names,
+            names,
+            incarnations,
+        ),
+        st.builds(LeaveEndpoint, names, incarnations),
+        st.builds(RemoveEndpoint, names, incarnations),
+        st.builds(BeginTerm, names, terms),
+        st.builds(
+            EstablishTerm,
+            names,
+            terms,
+            names,
+            st.just(NAMES),
+            st.just(NAMES),
+            terms,
+        ),
+    )
+
+
+def _content(state):
+    return (
+        state.index,
+        state.sheet,
+        state.workspaces,
+        state.services,
+        state.hosts,
+        state.endpoints,
+    )
+
+
+@then("random commands leave every copy equal to the state")
+def copies_follow(context):
+    # Each command says whether a near copy and a far one are brought up to
+    # date, directly or through another copy, and whether the state restarts.
+    row = st.tuples(_commands(), st.booleans(), st.booleans(), st.booleans())
+
+    @hypothesis.settings(
+        max_examples=300, derandomize=True, deadline=None, database=None
+    )
+    @hypothesis.given(st.lists(row, max_size=40), st.integers(1, 4))
+    def check(rows, kept):
+        _state.MAX_REMOVALS = kept
+        state, near, far = ClusterState(), ClusterState(), ClusterState()
+        begun: dict[str, int] = {}
+        for index, (command, pull, relay, restart) in enumerate(rows, 3):
+            state.apply(index, command)
+            for name, record in state.services.items():
+                assert record.begun_term >= begun.get(name, 0)
+                assert record.term <= record.begun_term
+                begun[name] = record.begun_term
+            if restart:
+                state = ClusterState.from_bytes(state.to_bytes())
+            if pull:
+                near.merge(state.changes_since(near.index))
+                assert _content(near) == _content(state)
+            if relay:
+                far.merge(near.changes_since(far.index))
+                assert _content(far) == _content(near)
+
+    before = _state.MAX_REMOVALS
+    try:
+        check()
+    finally:
+        _state.MAX_REMOVALS = before
+
+
+@given("a state that has forgotten removals")
+def forgotten_removals(context):
+    context.state = state = ClusterState()
+    sheet = _sheet(1, "x", ("s",), ("w",))
+    state.apply(1, sheet)
+    for index in range(_state.MAX_REMOVALS + 10):
+        host = HostRecord(f"h{index}", "z", "a", "m", "i")
+        state.apply(state.index + 1, RegisterHost(host))
+    context.early = ClusterState()
+    context.early.merge(state.changes_since(0))
+    for index in range(_state.MAX_REMOVALS + 10):
+        state.apply(state.index + 1, RemoveHost(f"h{index}", "i"))
+        if index == 20:
+            context.late = ClusterState()
+            context.late.merge(state.changes_since(0))
+
+
+@then("a copy from before them is replaced in full and becomes equal")
+def early_copy(context):
+    reply = context.state.changes_since(context.early.index)
+    assert reply.full and not reply.removed
+    assert context.early.merge(reply)
+    assert _content(context.early) == _content(context.state)
+
+
+@then("a copy from after them receives only the changes")
+def late_copy(context):
+    reply = context.state.changes_since(context.late.index)
+    assert not reply.full and not reply.workspaces
+    assert len(reply.removed) == _state.MAX_REMOVALS + 10 - 21
+    assert context.late.merge(reply)
+    assert _content(context.late) == _content(context.state)
+
+
+@given("a copy at index {index:d}")
+def copy_at(context, index):
+    context.state = ClusterState()
+    context.state.apply(index, _sheet(5, "abc"))
+    context.copy = ClusterState()
+    context.copy.merge(context.state.changes_since(0))
+    context.content = _content(context.copy)
+
+
+@when("it merges a full reply of index {index:d}")
+def merge_older(context, index):
+    other = ClusterState()
+    other.apply(index, _sheet(4, "xyz", ("t",)))
+    assert not context.copy.merge(other.changes_since(0))
+
+
+@then("it has not changed")
+def unchanged(context):
+    assert _content(context.copy) == context.content
