--- a/chivescale/agreement/__init__.py
+++ b/chivescale/agreement/__init__.py
@@ -27,7 +27,11 @@
     Timing,
     Undelivered,
 )
-from chivescale.agreement._folder import FolderReport, check_folder
+from chivescale.agreement._folder import (
+    FolderReport,
+    check_folder,
+    read_folder,
+)
 from chivescale.agreement._host import AgreementHost
 from chivescale.agreement._machine import Agreement
 from chivescale.agreement._messages import (
@@ -87,4 +91,5 @@
     "VoteReply",
     "VoteRequest",
     "check_folder",
+    "read_folder",
 ]
