--- a/chivescale_standin/_replica.py
+++ b/chivescale_standin/_replica.py
@@ -39,8 +39,9 @@
             return Failure(ErrorKind.BAD_REQUEST, f"query: {err!r}")
         endpoint = request.query.get("endpoint", "")
         deadline = min(request.deadline, time.monotonic() + wait_s)
+        await faults.travel()
         while True:
-            await faults.travel()
+            await faults.gate()
             if faults.is_cut(endpoint):
                 await asyncio.sleep(request.deadline - time.monotonic())
             reply = _reply(group, term, held)
--- a/chivescale_standin/_sql.py
+++ b/chivescale_standin/_sql.py
@@ -3,7 +3,6 @@
 import asyncio
 import re
 import sqlite3
-import time
 
 import msgspec
 
@@ -14,6 +13,7 @@
 from chivescale_standin._faults import Faults
 from chivescale_standin._group import Group
 from chivescale_standin._settings import StandinSettings
+from chivescale_standin._store import fetch
 from chivescale_standin._values import (
     make_rows,
     sql_failure,
@@ -122,7 +122,10 @@
         writes = statement.kind == "write"
         if writes and not self.group.is_primary():
             return READ_ONLY
-        if writes or (statement.locks and data.open):
+        locks = statement.locks or (
+            statement.kind == "savepoint" and self.group.is_primary()
+        )
+        if writes or (locks and data.open):
             if not await self._lock(session):
                 return LOCK_TIMEOUT
         try:
@@ -191,7 +194,8 @@
             data.open = True
         try:
             return self._run_kind(session, statement, sql)
-        except (sqlite3.Error, sqlite3.Warning, OverflowError) as err:
+        except (sqlite3.Error, sqlite3.Warning, ValueError) as err:
+            # Text that is no UTF-8 outside a literal is a ValueError.
             return sql_failure(err)
 
     def _run_kind(self, session, statement: Statement, sql: str):
@@ -225,13 +229,10 @@
         if "LAST_INSERT_ID()" in statement.text.upper():
             return make_rows(["LAST_INSERT_ID()"], [(data.last_insert_id,)])
         if data.writing:
+            # Empty values of binary columns read as NULL here.
             cursor = self.store.run(statement.text, statement.at)
-        else:
-            cursor = self.store.reader.execute(statement.text)
-        names = [column[0] for column in cursor.description or ()]
-        rows = cursor.fetchall()
-        cursor.close()
-        return make_rows(names, rows)
+            return make_rows(*fetch(cursor))
+        return make_rows(*self.store.read(statement.text))
 
     def _write(self, session, statement: Statement) -> QueryResult | Failure:
         data = session.data
@@ -285,9 +286,10 @@
         if not data.open:
             return QueryResult()
         if not data.writing:
-            if statement.text.upper().startswith("SAVEPOINT"):
+            if self.holder is not session:
                 return QueryResult()
-            return statement_failure(1305, "42000", "SAVEPOINT does not exist")
+            self.store.begin()
+            data.writing = True
         self.store.run(statement.text, statement.at)
         data.statements.append((statement.text, statement.at))
         return QueryResult()
@@ -313,8 +315,3 @@
         if words[:2] == ["SHOW", "WARNINGS"]:
             return make_rows(["Level", "Code", "Message"], [])
         return make_rows(["Variable_name", "Value"], [])
-
-
-def now_s() -> float:
-    """Return monotonic seconds."""
-    return time.monotonic()
--- a/chivescale_standin/_store.py
+++ b/chivescale_standin/_store.py
@@ -56,7 +56,9 @@
         self.writer = self._connect()
         self.writer.executescript(_LOG_SCHEMA)
         self.reader = self._connect()
-        self.reader.execute("PRAGMA query_only=ON")
+        self.plain = self._connect(types=0)
+        for connection in (self.reader, self.plain):
+            connection.execute("PRAGMA query_only=ON")
         self.term_starts = [
             TermStart(term, position)
             for term, position in self.writer.execute(
@@ -71,11 +73,11 @@
         self.last = Position(*row) if row else Position(0, 0)
         self.note_schema()
 
-    def _connect(self) -> sqlite3.Connection:
+    def _connect(self, types=sqlite3.PARSE_DECLTYPES) -> sqlite3.Connection:
         connection = sqlite3.connect(
             self.path,
             isolation_level=None,
-            detect_types=sqlite3.PARSE_DECLTYPES,
+            detect_types=types,
             timeout=0,
             check_same_thread=False,
         )
@@ -89,6 +91,7 @@
     def close(self) -> None:
         """Close the file; an open transaction rolls back."""
         self.reader.close()
+        self.plain.close()
         self.writer.close()
 
     def note_schema(self) -> None:
@@ -146,6 +149,18 @@
         self.now = at
         return self.writer.execute(text)
 
+    def read(self, text: str) -> tuple[list[str], list[tuple]]:
+        """Run a query on committed data; return column names and rows."""
+        names, rows = fetch(self.reader.execute(text))
+        if any(None in row for row in rows):
+            # The module turns empty values into None when it converts them.
+            _, plain = fetch(self.plain.execute(text))
+            rows = [
+                tuple(map(_restore_empty, *pair))
+                for pair in zip(rows, plain, strict=True)
+            ]
+        return names, rows
+
     def append(self, term: int, statements: tuple) -> Position:
         """Commit the open transaction as the next log entry."""
         entry = LogEntry(self.last.position + 1, term, statements)
@@ -228,6 +243,20 @@
         self.open()
 
 
+def fetch(cursor: sqlite3.Cursor) -> tuple[list[str], list[tuple]]:
+    """Return column names and all rows, and end the read."""
+    names = [column[0] for column in cursor.description or ()]
+    rows = cursor.fetchall()
+    cursor.close()
+    return names, rows
+
+
+def _restore_empty(value, plain):
+    if value is None and plain in (b"", ""):
+        return b""
+    return value
+
+
 def owner(term_starts, last: int, position: int) -> int:
     """Return the term that owns a position of a log of length `last`."""
     if not 0 < position <= last:
--- a/chivescale_standin/_values.py
+++ b/chivescale_standin/_values.py
@@ -111,8 +111,8 @@
 )
 
 
-def sql_failure(err: sqlite3.Error) -> Failure:
-    """Return the MySQL error that corresponds to a SQLite error."""
+def sql_failure(err: Exception) -> Failure:
+    """Return the MySQL error that corresponds to an error of SQLite."""
     text = str(err)
     for pattern, errno, sqlstate in _ERRORS:
         if pattern.search(text):
