--- a/chivescale/messages/__init__.py
+++ b/chivescale/messages/__init__.py
@@ -3,6 +3,7 @@
 from chivescale.messages._cluster import (
     AcceptSheet,
     Announcement,
+    Batch,
     BeginTerm,
     Command,
     DrainHost,
@@ -39,15 +40,22 @@
     PromoteReply,
     TermStart,
 )
-from chivescale.messages._status import MemberStatus, Status
+from chivescale.messages._operator import (
+    DrainRequest,
+    MemberStatus,
+    ReplaceRequest,
+    Status,
+)
 
 __all__ = [
     "AcceptSheet",
     "Accepted",
     "Announcement",
+    "Batch",
     "BeginTerm",
     "Command",
     "DrainHost",
+    "DrainRequest",
     "EndpointRecord",
     "EndpointStatus",
     "ErrorBody",
@@ -68,6 +76,7 @@
     "RegisterHost",
     "RemoveEndpoint",
     "RemoveHost",
+    "ReplaceRequest",
     "ServiceBinding",
     "ServiceRecord",
     "SheetAnswer",
