Close every opened session once; keep lost transactions lost

Causes, found in review: a client that vanished while its login was accepted was never reported as closed, so its connection count leaked; a handler that killed its own session cancelled its own answer; after a fence the stand-in reported the loss of a transaction once and then accepted its COMMIT. Answers over 16 MiB are split.

--- a/chivescale/mysql/_connection.py
+++ b/chivescale/mysql/_connection.py
@@ -91,6 +91,7 @@
         self.prepared: dict[int, Prepared] = {}
         self.ending: Failure | None = None
         self.vanished = False
+        self.accepted = False
         self.task: asyncio.Task | None = None
         self.commands = {
             Commands.COM_QUERY: self.handle_query,
@@ -157,7 +158,9 @@
             return
         self.ending = failure
         if self.session.executing:
-            self.task.cancel()
+            # A handler may end its own session; its outcome is still sent.
+            if asyncio.current_task() is not self.task:
+                self.task.cancel()
         else:
             self.stream.close()
 
@@ -168,19 +171,22 @@
             return await self.use(match.group(1).strip("`"))
         self.session.executing = True
         try:
-            return await self.handlers.execute(self.session, sql, attrs)
+            outcome = await self.handlers.execute(self.session, sql, attrs)
         except asyncio.CancelledError:
             if not (self.vanished or self.ending):
                 raise
-            self.task.uncancel()
-            if self.vanished:
-                raise ConnectionEnded() from None
-            return self.ending
+            outcome = self.ending
         except Exception as err:  # one caller must not end the process
             log_event("statement_error", "error", error=repr(err))
-            return Failure(ErrorKind.INTERNAL, repr(err))
+            outcome = Failure(ErrorKind.INTERNAL, repr(err))
         finally:
             self.session.executing = False
+        if self.vanished or self.ending:
+            while self.task.cancelling():
+                self.task.uncancel()
+        if self.vanished:
+            raise ConnectionEnded()
+        return outcome
 
     async def use(self, service: str) -> Failure | None:
         """Switch the default database."""
--- a/chivescale/mysql/_server.py
+++ b/chivescale/mysql/_server.py
@@ -121,16 +121,14 @@
             task.add_done_callback(self.tasks.discard)
 
     async def _serve(self, sock: socket.socket, session) -> None:
-        stream = None
+        connection = None
         try:
             async with asyncio.timeout(self.options.login_s):
                 connection = await self._greet(sock, session)
-                if connection is None:
-                    return
-                stream = connection.stream
-                if not await self._log_in(connection):
-                    return
-            await self._run(connection)
+                if connection is not None:
+                    await self._log_in(connection)
+            if connection is not None and connection.accepted:
+                await connection.command_phase()
         except (MalformedPacket, PacketTooLarge) as err:
             log_event("login_malformed", "debug", error=repr(err))
         except (ConnectionEnded, TimeoutError, OSError) as err:
@@ -138,19 +136,17 @@
         except Exception as err:  # one caller must not end the process
             log_event("connection_error", "error", error=repr(err))
         finally:
-            if stream is None:
+            if connection is None:
                 sock.close()
             else:
-                stream.close()
+                await self._finish(connection)
 
-    async def _run(self, connection: CallerConnection) -> None:
+    async def _finish(self, connection: CallerConnection) -> None:
         session = connection.session
-        self.sessions[session.connection_id] = session
-        try:
-            await connection.command_phase()
-        finally:
+        session.end = None
+        connection.stream.close()
+        if connection.accepted:
             self.sessions.pop(session.connection_id, None)
-            session.end = None
             await self.handlers.closed(session)
 
     async def _greet(self, sock, session) -> CallerConnection | None:
@@ -212,7 +208,7 @@
             reader, writer, sequence, MAX_HANDSHAKE_BYTES, self.options.write_s
         )
 
-    async def _log_in(self, connection: CallerConnection) -> bool:
+    async def _log_in(self, connection: CallerConnection) -> None:
         """Check the secret and the handlers' consent."""
         session, login = connection.session, connection.login
         session.workspace, session.service = login.user, login.database
@@ -228,13 +224,15 @@
         if is_failure(failure):
             packet = make_error(failure, self.options.prefix_errors)
             await connection.stream.send([packet])
-            return False
+            return
+        # From here on `closed` must be called, also if the client is gone.
+        connection.accepted = True
+        self.sessions[session.connection_id] = session
         status = ServerStatus.SERVER_STATUS_AUTOCOMMIT
         await connection.stream.send(
             [make_ok(connection.capabilities, status)]
         )
         connection.stream.limit = self.options.max_packet_bytes
-        return True
 
     async def _switch_plugin(self, connection: CallerConnection) -> bytes:
         request = packets.make_auth_switch_request(
--- a/chivescale/mysql/_stream.py
+++ b/chivescale/mysql/_stream.py
@@ -116,21 +116,20 @@
         self.framing.reset_seq()
 
     async def send(self, packets: list[bytes]) -> None:
-        """Write packets and wait until the transport took them."""
-        async with asyncio.timeout(self.write_s):
-            self.buffer(packets)
-            await self.framing.drain()
-
-    def buffer(self, packets: list[bytes]) -> None:
-        """Frame packets without writing them yet."""
-        for packet in packets:
-            if len(packet) >= MAX_FRAME_BYTES:
-                raise ValueError("answer packet over 16 MiB")
-        self.framing.write_many(packets)
+        """Write packets and wait until the transport took them.
 
-    async def flush(self) -> None:
-        """Write what is buffered."""
+        Raises
+        ------
+        TimeoutError
+            If the caller does not read for the time allowed.
+        """
         async with asyncio.timeout(self.write_s):
+            if max(map(len, packets)) < MAX_FRAME_BYTES:
+                self.framing.write_many(packets)
+            else:
+                # Only this path splits packets over 16 MiB.
+                for packet in packets:
+                    await self.framing.write(packet, drain=False)
             await self.framing.drain()
 
     def close(self, abort: bool = False) -> None:
--- a/chivescale/mysql/tests/callers.feature
+++ b/chivescale/mysql/tests/callers.feature
@@ -146,3 +146,33 @@
       | state   | end           |
       | idle    | a closed port |
       | running | error 1053    |
+      | ending itself | error 1045  |
+      | running a statement that answers all the same | error 1105 |
+
+  Scenario: A client that leaves during its login is closed once
+    Given a scripted server
+    When a client disappears while its login is accepted
+    Then its session is closed once
+
+  Scenario: A statement over 16 MiB arrives whole
+    Given a scripted server that accepts 40000000 bytes
+    When a driver sends 17000000 bytes of text and reads their length
+    Then the length is 17000000
+
+  Scenario: A row over 16 MiB arrives whole
+    Given a scripted server
+    When a driver reads a row of 17000000 bytes
+    Then the row has 17000000 bytes
+
+  Scenario: A caller that does not read ends only its connection
+    Given a scripted server that waits 300 ms for a caller to read
+    And a second connection
+    When a client asks for 40000000 bytes and does not read
+    Then its session is closed once
+    And the second connection still answers
+
+  Scenario: A session that ends closes its connections
+    Given a scripted server
+    And a second connection
+    When the server closes
+    Then the second connection has ended
--- a/chivescale/mysql/tests/steps/caller_steps.py
+++ b/chivescale/mysql/tests/steps/caller_steps.py
@@ -430,8 +430,14 @@
     statement = "SELECT 1"
     if state == "idle":
         context.thread.run(kill())
+    elif state == "ending itself":
+        statement = "LEAVE"
     else:
         statement = "HANG"
+        if state != "running":
+            context.script.outcome_on_cancel = Failure(
+                ErrorKind.OUTCOME_UNKNOWN, "in doubt"
+            )
         asyncio.run_coroutine_threadsafe(
             kill_when_started(), context.thread.loop
         )
@@ -451,3 +457,71 @@
     else:
         assert errno == int(end.split()[1]), context.error
     assert context.script.ended.wait(support.WAIT_S)
+
+
+@when("a client disappears while its login is accepted")
+def disappears(context):
+    sock = support.raw_socket(context)
+    context.script.on_open = sock.close
+    try:
+        _log_in(sock)
+    except OSError:
+        return
+
+
+@then("its session is closed once")
+def session_closed_once(context):
+    assert context.script.ended.wait(support.WAIT_S)
+    time.sleep(0.05)
+    assert len(context.script.closed) == 1
+    assert context.script.closed[0] not in context.script.server.sessions
+
+
+@when("a driver sends {size:d} bytes of text and reads their length")
+def sends_text(context, size):
+    connection = support.driver(context, max_allowed_packet=1 << 26)
+    text = "LENGTH " + "x" * (size - 7)
+    context.length = _run(connection, text).fetchall()[0][0]
+
+
+@then("the length is {size:d}")
+def length_is(context, size):
+    assert context.length == size
+
+
+@given("a scripted server that waits {ms:d} ms for a caller to read")
+def impatient_server(context, ms):
+    support.start(context, ServerOptions(write_s=ms / 1000))
+
+
+@when("a client asks for {size:d} bytes and does not read")
+def does_not_read(context, size):
+    sock = support.raw_socket(context)
+    _log_in(sock)
+    sock.sendall(support.packet(0, b"\x03BIG %d" % size))
+
+
+@when("a driver reads a row of {size:d} bytes")
+def reads_big_row(context, size):
+    driver_runs(context, f"BIG {size}")
+
+
+@then("the row has {size:d} bytes")
+def big_row(context, size):
+    assert context.cursor is not None, context.error
+    assert len(context.cursor.fetchall()[0][0]) == size
+
+
+@when("the server closes")
+def server_closes(context):
+    context.thread.run(context.script.server.close())
+
+
+@then("the second connection has ended")
+def second_ended(context):
+    try:
+        _run(context.second, "SELECT 1")
+        raise AssertionError("the connection still answers")
+    except pymysql.MySQLError as err:
+        assert err.args[0] in (2006, 2013), err
+    assert len(context.script.closed) == 1
--- a/chivescale/mysql/tests/support.py
+++ b/chivescale/mysql/tests/support.py
@@ -59,6 +59,8 @@
         self.closed = []
         self.cancelled = []
         self.refusal = None
+        self.outcome_on_cancel = None
+        self.on_open = None
         self.started = threading.Event()
         self.ended = threading.Event()
         handlers = CallerHandlers(
@@ -70,6 +72,9 @@
         self.server = CallerServer(handlers, tls, options or ServerOptions())
 
     async def opened(self, session):
+        if self.on_open is not None:
+            self.on_open()
+            await asyncio.sleep(0.05)
         return self.refusal
 
     async def on_closed(self, session):
@@ -86,6 +91,9 @@
             return Failure(ErrorKind(sql.split()[1]), "a reason")
         if word == "HANG":
             return await self.hang(session)
+        if word == "LEAVE":
+            session.kill(Failure(ErrorKind.SHUTTING_DOWN, "killed"))
+            return Failure(ErrorKind.WORKSPACE_REMOVED, "own outcome")
         if word == "RAISE":
             raise RuntimeError("a fault of the handler")
         if word == "BEGIN":
@@ -103,6 +111,11 @@
             if "BROKEN" in sql:
                 rows.append((1, Unencodable()))
             return QueryResult((Column("a", 8), Column("b", 253)), rows)
+        if word == "BIG":
+            text = "x" * int(sql.split()[1])
+            return QueryResult((Column("text", 253),), [(text,)])
+        if word == "LENGTH":
+            return QueryResult((Column("n", 8),), [(len(sql),)])
         if word == "ECHO":
             return QueryResult((Column("sql", 253),), [(sql,)])
         return QueryResult(
@@ -119,6 +132,8 @@
             await asyncio.Event().wait()
         except asyncio.CancelledError:
             self.cancelled.append(session.connection_id)
+            if self.outcome_on_cancel is not None:
+                return self.outcome_on_cancel
             raise
 
     @property
--- a/chivescale_standin/_sql.py
+++ b/chivescale_standin/_sql.py
@@ -154,12 +154,14 @@
         return True
 
     def _report_loss(self, session, statement: Statement):
-        """Tell once that the transaction is gone."""
+        """Refuse everything until the caller ends the lost transaction.
+
+        A COMMIT must fail even if an earlier statement told of the loss.
+        """
+        if statement.kind not in ("rollback", "commit", "begin"):
+            return ROLLED_BACK
         self._finish(session)
-        session.data.lost = False
-        if statement.kind == "rollback":
-            return QueryResult()
-        return ROLLED_BACK
+        return QueryResult() if statement.kind == "rollback" else ROLLED_BACK
 
     def abort_writer(self) -> None:
         """Roll back the open write transaction; its caller learns later."""
@@ -168,7 +170,7 @@
             return
         lost = session.data.open and session.data.writing
         self._finish(session)
-        session.data.lost = lost
+        session.data.lost = session.data.open = lost
 
     def _finish(self, session: CallerSession) -> None:
         """End the session's transaction without a commit."""
@@ -177,7 +179,7 @@
             return
         if data.writing:
             self.store.rollback()
-        data.open = data.writing = False
+        data.open = data.writing = data.lost = False
         data.statements = []
         if self.holder is session:
             self.holder = None
--- a/chivescale_standin/tests/replication.feature
+++ b/chivescale_standin/tests/replication.feature
@@ -62,6 +62,13 @@
     When a transaction writes to e0 and e0 then promises term 2
     Then its COMMIT fails with error 1290 and its rows are gone
 
+  Scenario: A lost transaction stays lost until its caller ends it
+    Given a group of 1 endpoint
+    And e0 is primary in term 1 with a table
+    When a transaction writes to e0 and e0 is replaced and promoted again
+    Then every statement and the COMMIT fail with error 1290
+    And after that a new transaction can commit
+
   Scenario: A frozen primary that resumes after the promise writes nothing
     Given a group of 3 endpoints with primary e0 in term 1
     When e0 freezes, e1 becomes primary in term 2 and e0 resumes
--- a/chivescale_standin/tests/steps/group_steps.py
+++ b/chivescale_standin/tests/steps/group_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 
+import pymysql
 from behave import given, then, when
 from hypothesis import given as for_all
 from hypothesis import settings
@@ -166,6 +167,41 @@
     assert context.group.status(0).last.position == 2
 
 
+@when("a transaction writes to e0 and e0 is replaced and promoted again")
+def promoted_again(context):
+    context.connection = context.group.driver(0)
+    context.add_cleanup(context.connection.close)
+    context.connection.begin()
+    context.connection.cursor().execute("INSERT INTO t (v) VALUES ('lost')")
+    context.group.elect(0, 2)
+
+
+def _errno(action, *args):
+    try:
+        action(*args)
+    except pymysql.MySQLError as err:
+        return err.args[0]
+    return 0
+
+
+@then("every statement and the COMMIT fail with error {errno:d}")
+def all_fail(context, errno):
+    cursor = context.connection.cursor()
+    for sql in ("INSERT INTO t (v) VALUES ('next')", "SELECT 1"):
+        assert _errno(cursor.execute, sql) == errno
+        assert context.connection.server_status & 1
+    assert _errno(context.connection.commit) == errno
+    assert context.group.rows(0) == []
+
+
+@then("after that a new transaction can commit")
+def new_transaction(context):
+    context.connection.begin()
+    context.connection.cursor().execute("INSERT INTO t (v) VALUES ('new')")
+    context.connection.commit()
+    assert len(context.group.rows(0)) == 1
+
+
 @when("e0 freezes, e1 becomes primary in term 2 and e0 resumes")
 def zombie(context):
     group = context.group
