Shorten the path of an answer to a caller

A profile showed flag arithmetic on enumerations, a timeout and several buffer steps for each answer. Packets are now framed in one write, flags are plain integers, and the timeout applies only when the transport holds data.

--- a/chivescale/mysql/_connection.py
+++ b/chivescale/mysql/_connection.py
@@ -22,6 +22,7 @@
     PacketReader,
     decode_sql,
     make_column_definition,
+    make_eof,
     make_error,
     make_ok,
     make_text_row,
@@ -51,6 +52,8 @@
 from chivescale.telemetry import log_event
 
 ROWS_PER_BATCH = 500
+STATUS_IN_TRANS = int(ServerStatus.SERVER_STATUS_IN_TRANS)
+STATUS_AUTOCOMMIT = int(ServerStatus.SERVER_STATUS_AUTOCOMMIT)
 _USE = re.compile(r"\s*USE\s+(`[^`]+`|[\w$-]+)\s*;?\s*", re.IGNORECASE)
 _PARAMETER = Column("?", TYPE_VAR_STRING, CHARSET_BINARY, FLAG_BINARY)
 TOO_MANY_PREPARED = Failure(
@@ -88,6 +91,12 @@
         self.handlers = handlers
         self.options = options
         self.capabilities = capabilities
+        self.sends_attributes = bool(
+            Capabilities.CLIENT_QUERY_ATTRIBUTES & capabilities
+        )
+        self.ends_with_ok = bool(
+            Capabilities.CLIENT_DEPRECATE_EOF & capabilities
+        )
         self.prepared: dict[int, Prepared] = {}
         self.ending: Failure | None = None
         self.vanished = False
@@ -202,7 +211,7 @@
 
     async def handle_query(self, data: bytes) -> None:
         reader, attrs = PacketReader(data), {}
-        if Capabilities.CLIENT_QUERY_ATTRIBUTES & self.capabilities:
+        if self.sends_attributes:
             attrs = read_attributes(reader)
         outcome = await self.run_statement(decode_sql(reader.rest()), attrs)
         await self.answer(outcome, make_text_row)
@@ -237,8 +246,8 @@
         head = b"\0" + uint_4(number) + uint_2(0) + uint_2(statement.count)
         packets = [head + b"\0\0\0"]
         packets += [make_column_definition(_PARAMETER)] * statement.count
-        if statement.count and not self.deprecate_eof():
-            packets.append(self.eof())
+        if statement.count and not self.ends_with_ok:
+            packets.append(make_eof(self.status()))
         await self.stream.send(packets)
 
     async def handle_stmt_execute(self, data: bytes) -> None:
@@ -251,8 +260,9 @@
         # to send all rows at once instead.
         flags = reader.integer(1)
         reader.integer(4)
-        attributes = Capabilities.CLIENT_QUERY_ATTRIBUTES & self.capabilities
-        sql, attrs = read_execute(reader, statement, flags, bool(attributes))
+        sql, attrs = read_execute(
+            reader, statement, flags, self.sends_attributes
+        )
         statement.long_data.clear()
         outcome = await self.run_statement(sql, attrs)
         if is_failure(outcome) or outcome is None:
@@ -296,29 +306,25 @@
 
     async def answer(self, outcome, make_row=make_text_row) -> None:
         """Write the whole answer to a command."""
-        self._set_status()
         if is_failure(outcome):
             packet = make_error(outcome, self.options.prefix_errors)
             await self.stream.send([packet])
         elif outcome is None or not outcome.columns:
-            packet = make_ok(self.capabilities, self.status_flags, outcome)
-            await self.stream.send([packet])
+            await self.stream.send([make_ok(self.status(), outcome)])
         else:
             await self._send_rows(outcome, make_row)
 
-    def _set_status(self) -> None:
-        flags = ServerStatus(0)
-        if self.session.autocommit:
-            flags |= ServerStatus.SERVER_STATUS_AUTOCOMMIT
-        if self.session.in_transaction:
-            flags |= ServerStatus.SERVER_STATUS_IN_TRANS
-        self.status_flags = flags
+    def status(self) -> int:
+        """Return the status flags of an answer."""
+        session = self.session
+        flags = STATUS_AUTOCOMMIT if session.autocommit else 0
+        return flags | STATUS_IN_TRANS if session.in_transaction else flags
 
     async def _send_rows(self, result, make_row) -> None:
         packets = [uint_len(len(result.columns))]
         packets += [make_column_definition(col) for col in result.columns]
-        if not self.deprecate_eof():
-            packets.append(self.eof())
+        if not self.ends_with_ok:
+            packets.append(make_eof(self.status()))
         try:
             for row in result.rows:
                 packets.append(make_row(row))
@@ -331,8 +337,6 @@
             raise AnswerBroken(repr(err)) from err
 
     def _end_of_rows(self, result) -> bytes:
-        if self.deprecate_eof():
-            return make_ok(
-                self.capabilities, self.status_flags, result, eof=True
-            )
-        return self.eof(warnings=min(result.warnings, 0xFFFF))
+        if self.ends_with_ok:
+            return make_ok(self.status(), result, eof=True)
+        return make_eof(self.status(), result.warnings)
--- a/chivescale/mysql/_packets.py
+++ b/chivescale/mysql/_packets.py
@@ -1,9 +1,9 @@
 """Packets that mysql-mimic does not build or reads without bounds."""
 
+import functools
 import struct
 
 import msgspec
-from mysql_mimic import packets
 from mysql_mimic.types import Capabilities, str_len, uint_len
 
 from chivescale.errors import KIND_TABLE, ErrorKind, Failure
@@ -13,6 +13,7 @@
 DEFAULT_ERRNO = 1105
 DEFAULT_SQLSTATE = "HY000"
 HANDSHAKE_FIXED_BYTES = 32
+_pack_status = struct.Struct("<HH").pack
 
 
 class MalformedPacket(Exception):
@@ -159,23 +160,36 @@
     )
 
 
-def make_ok(capabilities, status_flags, result=None, eof=False) -> bytes:
-    """Return an OK packet with the counts and the position of `result`."""
+def make_ok(status: int, result=None, eof: bool = False) -> bytes:
+    """Return an OK packet with the counts and the position of `result`.
+
+    Parameters
+    ----------
+    status : int
+        Status flags.
+    result : QueryResult, optional
+        Outcome to describe.
+    eof : bool
+        Whether the packet ends rows.
+    """
     if result is None:
-        return packets.make_ok(capabilities, status_flags, eof=eof)
-    packet = packets.make_ok(
-        capabilities,
-        status_flags,
-        eof=eof,
-        affected_rows=0 if eof else result.affected_rows,
-        last_insert_id=0 if eof else result.last_insert_id,
-        warnings=min(result.warnings, 0xFFFF),
-    )
+        return b"\0\0\0" + _pack_status(status, 0)
+    head = b"\xfe\0\0"
+    if not eof:
+        affected = uint_len(result.affected_rows)
+        head = b"\0" + affected + uint_len(result.last_insert_id)
+    packet = head + _pack_status(status, min(result.warnings, 0xFFFF))
     if result.commit is not None:
         packet += format_commit(result.commit).encode()
     return packet
 
 
+def make_eof(status: int, warnings: int = 0) -> bytes:
+    """Return the packet that ends columns or rows for older clients."""
+    return b"\xfe" + _pack_status(min(warnings, 0xFFFF), status)
+
+
+@functools.lru_cache(maxsize=4096)
 def make_column_definition(column: Column) -> bytes:
     """Return the definition packet of one column."""
     name = str_len(column.name.encode("utf-8", "surrogateescape"))
--- a/chivescale/mysql/_server.py
+++ b/chivescale/mysql/_server.py
@@ -19,7 +19,6 @@
 from chivescale.mysql._packets import (
     MalformedPacket,
     make_error,
-    make_ok,
     parse_handshake_response,
 )
 from chivescale.mysql._session import (
@@ -228,10 +227,7 @@
         # From here on `closed` must be called, also if the client is gone.
         connection.accepted = True
         self.sessions[session.connection_id] = session
-        status = ServerStatus.SERVER_STATUS_AUTOCOMMIT
-        await connection.stream.send(
-            [make_ok(connection.capabilities, status)]
-        )
+        await connection.answer(None)
         connection.stream.limit = self.options.max_packet_bytes
 
     async def _switch_plugin(self, connection: CallerConnection) -> bytes:
--- a/chivescale/mysql/_stream.py
+++ b/chivescale/mysql/_stream.py
@@ -4,8 +4,6 @@
 import collections.abc
 import socket
 
-from mysql_mimic.stream import MysqlStream
-
 from chivescale.mysql._packets import MalformedPacket
 
 HEADER_BYTES = 4
@@ -13,6 +11,7 @@
 READ_BUFFER_BYTES = 1 << 16
 # Enough for user, scramble, database and connection attributes.
 MAX_HANDSHAKE_BYTES = 1 << 16
+_BYTES = [bytes((number,)) for number in range(256)]
 
 
 class ConnectionEnded(Exception):
@@ -48,8 +47,8 @@
 class PacketStream:
     """Packets with a size limit and checked sequence numbers.
 
-    The library's stream reads without a limit, so only its framing of
-    answers is used.
+    The library's stream reads without a limit and drains every answer in
+    several steps, so it is not used.
 
     Parameters
     ----------
@@ -66,8 +65,7 @@
     def __init__(self, reader, writer, sequence: int, limit: int, write_s):
         self.reader = reader
         self.writer = writer
-        self.framing = MysqlStream(reader, writer)
-        self.framing.seq.value = sequence
+        self.sequence = sequence
         self.limit = limit
         self.write_s = write_s
 
@@ -86,8 +84,9 @@
             try:
                 header = await self.reader.readexactly(HEADER_BYTES)
                 size = int.from_bytes(header[:3], "little")
-                if header[3] != next(self.framing.seq):
+                if header[3] != self.sequence:
                     raise MalformedPacket("packets out of order")
+                self.sequence = (self.sequence + 1) & 0xFF
                 if len(data) + size > self.limit:
                     await self._discard(size)
                     raise PacketTooLarge()
@@ -113,7 +112,7 @@
 
     def start_command(self) -> None:
         """Expect the first packet of a new command."""
-        self.framing.reset_seq()
+        self.sequence = 0
 
     async def send(self, packets: list[bytes]) -> None:
         """Write packets and wait until the transport took them.
@@ -123,14 +122,25 @@
         TimeoutError
             If the caller does not read for the time allowed.
         """
-        async with asyncio.timeout(self.write_s):
-            if max(map(len, packets)) < MAX_FRAME_BYTES:
-                self.framing.write_many(packets)
-            else:
-                # Only this path splits packets over 16 MiB.
-                for packet in packets:
-                    await self.framing.write(packet, drain=False)
-            await self.framing.drain()
+        parts = []
+        for packet in packets:
+            self._frame(packet, parts)
+        self.writer.write(b"".join(parts))
+        if self.writer.transport.get_write_buffer_size():
+            async with asyncio.timeout(self.write_s):
+                await self.writer.drain()
+
+    def _frame(self, packet: bytes, parts: list[bytes]) -> None:
+        """Add a packet with its headers, split where it is too long."""
+        while True:
+            size = min(len(packet), MAX_FRAME_BYTES)
+            parts.append(size.to_bytes(3, "little") + _BYTES[self.sequence])
+            self.sequence = (self.sequence + 1) & 0xFF
+            if size < MAX_FRAME_BYTES:
+                parts.append(packet)
+                return
+            parts.append(packet[:size])
+            packet = packet[size:]
 
     def close(self, abort: bool = False) -> None:
         """Close the connection, at once and without a flush on `abort`."""
