Refuse pool waiters of a dead endpoint; silence admin connections

A failed connection attempt left requests queued until their deadline while another connection of the dead endpoint was busy; they are now refused as unreachable at once, so that they can go elsewhere. Queues use a heap of deadlines instead of scans. The fault 'silence' also covers admin connections. Endpoint logins no longer offer multiple statements: one text classified by its first statement could run others.

--- a/chivescale/mysql/_client.py
+++ b/chivescale/mysql/_client.py
@@ -6,6 +6,7 @@
 import time
 
 from asyncmy.connection import Connection
+from asyncmy.constants.CLIENT import MULTI_STATEMENTS
 from asyncmy.errors import MySQLError
 
 from chivescale.errors import ErrorKind, Failure
@@ -86,7 +87,11 @@
         try:
             async with asyncio.timeout(deadline - time.monotonic()):
                 await self.driver.query(sql)
-                return self._result()
+            if self.driver._result.has_next:
+                self.close()
+                reason = "several results of one statement"
+                return self._failure(ErrorKind.TIMEOUT, reason)
+            return self._result()
         except MySQLError as err:
             return self._statement_error(err)
         except TimeoutError:
@@ -194,6 +199,9 @@
         autocommit=None,
         ssl=tls,
     )
+    # One text must never run as several statements: only the first is
+    # classified.
+    driver._client_flag &= ~MULTI_STATEMENTS
     try:
         async with asyncio.timeout(deadline - time.monotonic()):
             await driver.connect()
--- a/chivescale/mysql/tests/endpoints.feature
+++ b/chivescale/mysql/tests/endpoints.feature
@@ -45,6 +45,7 @@
       | the endpoint closes    | timeout |
       | the answer is cut      | timeout |
       | the answer is noise    | timeout |
+      | another answer follows | timeout |
       | the request is given up | nothing |
 
   Scenario Outline: A connection that changed while idle is not used
@@ -80,3 +81,7 @@
   Scenario: TLS to an endpoint
     Given a scripted server with TLS
     Then a connection with TLS runs statements
+
+  Scenario: A text cannot run as several statements
+    Given an open endpoint connection
+    Then its login does not offer multiple statements
--- a/chivescale/pool/_state.py
+++ b/chivescale/pool/_state.py
@@ -1,6 +1,7 @@
 """Which connection serves which request, without sockets or clocks."""
 
 import collections
+import heapq
 import random
 
 import msgspec
@@ -99,13 +100,6 @@
     connection: int
 
 
-class Waiter(msgspec.Struct, frozen=True):
-    """A request in the queue."""
-
-    ticket: int
-    deadline: float
-
-
 class PoolState:
     """Connections to one endpoint and the requests that wait for them.
 
@@ -124,8 +118,13 @@
         Connections on their way and in use.
     idle : dict of int to float
         Unused connections and when they became idle, oldest first.
-    waiting : dict of str to deque of Waiter
-        Queue of each workspace; the first workspace is served next.
+    waiting : dict of str to dict of int
+        Tickets of each workspace in order; the first workspace is served
+        next.
+    tickets : dict of int to str
+        Workspace of every ticket that waits.
+    deadlines : list of (float, int)
+        Heap of deadlines, also of tickets that no longer wait.
     stale : set of int
         Busy connections from before a suspected silence.
     retry_at : float
@@ -140,9 +139,11 @@
         self.busy: set[int] = set()
         self.idle: dict[int, float] = {}
         self.stale: set[int] = set()
-        self.waiting: collections.OrderedDict[
-            str, collections.deque[Waiter]
-        ] = collections.OrderedDict()
+        self.waiting: collections.OrderedDict[str, dict[int, None]] = (
+            collections.OrderedDict()
+        )
+        self.tickets: dict[int, str] = {}
+        self.deadlines: list[tuple[float, int]] = []
         self.failures = 0
         self.retry_at = 0.0
         self.last_failure: Failure | None = None
@@ -157,7 +158,7 @@
     @property
     def queued(self) -> int:
         """Requests that wait."""
-        return sum(len(queue) for queue in self.waiting.values())
+        return len(self.tickets)
 
     @property
     def wanted(self) -> int:
@@ -166,11 +167,9 @@
 
     def next_time(self) -> float | None:
         """Return when `Tick` is due; None if nothing is pending."""
-        times = [
-            waiter.deadline
-            for queue in self.waiting.values()
-            for waiter in queue
-        ]
+        while self.deadlines and self.deadlines[0][1] not in self.tickets:
+            heapq.heappop(self.deadlines)
+        times = [deadline for deadline, _ in self.deadlines[:1]]
         if self.idle:
             times.append(next(iter(self.idle.values())) + self.idle_s)
         if self.queued and self.failures and not self.opening:
@@ -203,8 +202,9 @@
             # Nothing can serve the request before the next attempt, and
             # another endpoint may.
             return [Refuse(event.ticket, self.last_failure)]
-        queue = self.waiting.setdefault(event.workspace, collections.deque())
-        queue.append(Waiter(event.ticket, event.deadline))
+        self.waiting.setdefault(event.workspace, {})[event.ticket] = None
+        self.tickets[event.ticket] = event.workspace
+        heapq.heappush(self.deadlines, (event.deadline, event.ticket))
         return []
 
     def _pressed(self) -> bool:
@@ -215,7 +215,7 @@
         )
 
     def _cancel(self, event: Cancel, now: float) -> list:
-        self._remove(lambda waiter: waiter.ticket == event.ticket)
+        self._forget(event.ticket)
         return []
 
     def _connected(self, event: Connected, now: float) -> list:
@@ -238,16 +238,26 @@
         self.last_failure = event.failure
         if self._pressed():
             return []
-        return self._refuse_unserved(event.failure)
-
-    def _refuse_unserved(self, failure: Failure) -> list:
-        """Refuse all waiting requests that no connection will serve."""
-        if self.held:
-            return []
-        return [
-            Refuse(waiter.ticket, failure)
-            for waiter in self._remove(lambda waiter: True)
-        ]
+        # The endpoint does not answer; another one may. Busy connections to
+        # it are doubtful as well.
+        return self._refuse_all(event.failure)
+
+    def _refuse_all(self, failure: Failure) -> list:
+        refused = [Refuse(ticket, failure) for ticket in self.tickets]
+        self.tickets.clear()
+        self.waiting.clear()
+        return refused
+
+    def _forget(self, ticket: int) -> bool:
+        """Take a ticket out of its queue; False if it does not wait."""
+        workspace = self.tickets.pop(ticket, None)
+        if workspace is None:
+            return False
+        queue = self.waiting[workspace]
+        del queue[ticket]
+        if not queue:
+            del self.waiting[workspace]
+        return True
 
     def _released(self, event: Released, now: float) -> list:
         connection = event.connection
@@ -289,34 +299,21 @@
         effects = [Discard(connection) for connection in self.idle]
         self.idle.clear()
         failure = Failure(ErrorKind.UNREACHABLE, "pool is closed")
-        waiters = self._remove(lambda waiter: True)
-        return effects + [Refuse(w.ticket, failure) for w in waiters]
+        return effects + self._refuse_all(failure)
 
     def _pop_oldest(self) -> int:
         connection = next(iter(self.idle))
         del self.idle[connection]
         return connection
 
-    def _remove(self, condition) -> list[Waiter]:
-        """Take waiters out of the queues."""
-        removed = []
-        for workspace, queue in list(self.waiting.items()):
-            found = [waiter for waiter in queue if condition(waiter)]
-            if not found:
-                continue
-            removed += found
-            left = [waiter for waiter in queue if not condition(waiter)]
-            if left:
-                self.waiting[workspace] = collections.deque(left)
-            else:
-                del self.waiting[workspace]
-        return removed
-
     def _expire(self, now: float) -> list:
         reason = "no connection became free in time"
         failure = Failure(ErrorKind.DEADLINE_NOT_STARTED, reason)
-        late = self._remove(lambda waiter: waiter.deadline <= now)
-        effects = [Refuse(waiter.ticket, failure) for waiter in late]
+        effects = []
+        while self.deadlines and self.deadlines[0][0] <= now:
+            _, ticket = heapq.heappop(self.deadlines)
+            if self._forget(ticket):
+                effects.append(Refuse(ticket, failure))
         while self.idle:
             since = next(iter(self.idle.values()))
             if since + self.idle_s > now:
@@ -328,14 +325,15 @@
         """Give idle connections to the workspaces in turn."""
         effects = []
         while self.idle and self.waiting:
-            workspace, queue = self.waiting.popitem(last=False)
-            waiter = queue.popleft()
+            workspace, queue = next(iter(self.waiting.items()))
+            ticket = next(iter(queue))
+            self._forget(ticket)
             if queue:
-                self.waiting[workspace] = queue
+                self.waiting.move_to_end(workspace)
             # The most recent one, so that surplus connections grow old.
             connection, _ = self.idle.popitem()
             self.busy.add(connection)
-            effects.append(Give(waiter.ticket, connection))
+            effects.append(Give(ticket, connection))
         return effects
 
     def _open(self, now: float) -> list:
--- a/chivescale/transport/_server.py
+++ b/chivescale/transport/_server.py
@@ -33,11 +33,14 @@
         Query parameters.
     deadline : float
         Monotonic time in seconds after which nobody waits for the answer.
+    connection : object
+        Identity of the connection that carries the request.
     """
 
     body: typing.Any
     query: dict[str, str]
     deadline: float
+    connection: typing.Any = None
 
 
 Handler = collections.abc.Callable[
@@ -159,7 +162,9 @@
             message = decode(body, route.body_type)
             if is_failure(message):
                 return message
-        return Request(message, dict(http.query), _deadline(http))
+        return Request(
+            message, dict(http.query), _deadline(http), http.transport
+        )
 
 
 def _deadline(http: web.Request) -> float:
--- a/chivescale_standin/_endpoint.py
+++ b/chivescale_standin/_endpoint.py
@@ -169,12 +169,14 @@
         """Apply delays and faults to an admin request."""
 
         async def handle(request):
+            silent = self.faults.note(request.connection)
             await self.faults.travel()
-            if self.faults.cut_control:
+            if silent or self.faults.cut_control:
                 await asyncio.sleep(MAX_WAIT_S)
             answer = await handler(request)
             await self.faults.travel()
-            if self.faults.cut_control:
+            silent = self.faults.note(request.connection)
+            if silent or self.faults.cut_control:
                 await asyncio.sleep(MAX_WAIT_S)
             return answer
 
--- a/chivescale_standin/_faults.py
+++ b/chivescale_standin/_faults.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+import weakref
 
 from chivescale_standin._messages import Fault
 
@@ -18,6 +19,8 @@
 
     def __init__(self, delay_s: float = 0.0):
         self.base_delay_s = delay_s
+        self.connections = weakref.WeakSet()
+        self.silent = weakref.WeakSet()
         self.clear()
 
     def clear(self) -> None:
@@ -44,6 +47,8 @@
             value = getattr(fault, name)
             if value is not None:
                 setattr(self, name, value)
+        if fault.silence:
+            self.silent |= self.connections
         for name in ("lag", "slow", "delay"):
             value = getattr(fault, f"{name}_ms")
             if value is not None:
@@ -53,6 +58,11 @@
         """Whether replication with `endpoint` is cut."""
         return self.cut_all or endpoint in self.cut
 
+    def note(self, connection: object) -> bool:
+        """Remember an admin connection; True if it is silent."""
+        self.connections.add(connection)
+        return connection in self.silent
+
     async def gate(self) -> None:
         """Wait while the process counts as frozen."""
         while True:
--- a/chivescale_standin/_messages.py
+++ b/chivescale_standin/_messages.py
@@ -68,7 +68,7 @@
     slow_ms : int
         Added to every statement while it holds a slot.
     silence : bool
-        Connections open now never answer again.
+        SQL and admin connections open now never answer again.
     refuse : bool
         New SQL connections are refused.
     drop_announcements : int
--- a/chivescale_standin/_replica.py
+++ b/chivescale_standin/_replica.py
@@ -42,7 +42,7 @@
         await faults.travel()
         while True:
             await faults.gate()
-            if faults.is_cut(endpoint):
+            if faults.note(request.connection) or faults.is_cut(endpoint):
                 await asyncio.sleep(request.deadline - time.monotonic())
             reply = _reply(group, term, held)
             if is_failure(reply) or reply.entries or reply.diverged:
--- a/chivescale_standin/tests/steps/sql_steps.py
+++ b/chivescale_standin/tests/steps/sql_steps.py
@@ -7,7 +7,7 @@
 from behave import given, then, when
 
 from chivescale.errors import ErrorKind, is_failure
-from chivescale.messages import Accepted, Announcement
+from chivescale.messages import Accepted, Announcement, EndpointStatus
 from chivescale.mysql import connect
 from chivescale.transport import Route, Server
 from chivescale_standin.tests import support
@@ -244,6 +244,11 @@
     outcome = asyncio.run(run())
     assert outcome.kind is ErrorKind.TIMEOUT, outcome
     assert len(group.sql(0, "SELECT 1").rows) == 1
+    # The fault itself arrived on an admin connection that is silent now.
+    path = "/v1/position"
+    silent = group.call(0, "GET", path, EndpointStatus, timeout_s=0.2)
+    assert silent.kind is ErrorKind.TIMEOUT, silent
+    assert group.status(0).endpoint == "e0"
 
 
 @then("after the fault refuse connections are refused until it is cleared")
