--- a/tools/system.py
+++ b/tools/system.py
@@ -89,8 +89,9 @@
         secret = secrets.token_hex(32).encode()
         super().__init__(folder, secret)
         self.plan = plan
+        # Hexadecimal, since a leading minus sign would read as an option.
         self.workspace_secrets = {
-            name: secrets.token_urlsafe(12) for name in plan.workspaces
+            name: secrets.token_hex(12) for name in plan.workspaces
         }
         self.sheet_number = 0
         self._write_secrets()
