--- /dev/null
+++ b/features/operator/environment.py
@@ -0,0 +1,21 @@
+"""One system for all scenarios of this directory."""
+
+from tools.system import Plan, System
+
+
+def before_feature(context, feature):
+    """Start the system that the scenarios of a feature share."""
+    context.system = None
+    if "system" in feature.tags:
+        context.system = System(Plan(workspaces=("mill-1",)))
+        try:
+            context.system.start_all()
+        except BaseException:
+            context.system.close()
+            raise
+
+
+def after_feature(context, feature):
+    """End its processes."""
+    if context.system is not None:
+        context.system.close()
