Count control bytes and use TLS on entry hosts

Cause: the metrics of control bytes had no source, and entry hosts ignored the TLS settings of the API port, so they could not reach control hosts that use them. A bad certificate ended the daemon with a traceback. Change: Client and Server count each message; entry hosts use the shared TLS contexts; the daemon reports a bad certificate in one line.

--- a/chivescale/control/_host.py
+++ b/chivescale/control/_host.py
@@ -58,7 +58,9 @@
         self.leadership: Leadership | None = None
         self.waiters: set[asyncio.Future] = set()
         self.stopping = False
-        self.client = Client(secret, client_tls(settings.tls))
+        tls = settings.tls
+        count = metrics.count_control if metrics is not None else None
+        self.client = Client(secret, client_tls(tls), count)
         self.agreement = AgreementHost(
             settings.host.name,
             settings.cluster.control,
@@ -73,7 +75,7 @@
             ),
         )
         routes = self.agreement.routes() + make_routes(self)
-        self.server = Server(secret, routes, server_tls(settings.tls))
+        self.server = Server(secret, routes, server_tls(tls), count)
 
     async def start(self) -> Failure | None:
         """Open the data folder and serve; a failure names what is wrong."""
--- a/chivescale/daemon/_run.py
+++ b/chivescale/daemon/_run.py
@@ -28,7 +28,10 @@
     _watch_signals(stopping)
     asyncio.get_running_loop().set_exception_handler(_log_exception)
     metrics = Metrics(settings.listen.metrics)
-    hosts = _make_hosts(settings, secret, metrics)
+    try:
+        hosts = _make_hosts(settings, secret, metrics)
+    except OSError as err:  # also an unusable certificate
+        return Failure(ErrorKind.SETTINGS_INVALID, _plain(err))
     started: list[typing.Any] = []
     for host in [metrics, *hosts]:
         failure = await _start(host)
--- a/chivescale/entry/_host.py
+++ b/chivescale/entry/_host.py
@@ -19,7 +19,7 @@
 from chivescale.retry import RetryBudget
 from chivescale.settings import Settings, read_secret
 from chivescale.telemetry import Metrics, log_event
-from chivescale.transport import Client, Server
+from chivescale.transport import Client, Server, client_tls, server_tls
 
 
 class EntryHost:
@@ -39,7 +39,8 @@
         self.settings = settings
         self.metrics = metrics
         self.incarnation = secrets.token_hex(8)
-        self.client = Client(secret)
+        tls, count = settings.tls, metrics.count_control
+        self.client = Client(secret, client_tls(tls), count)
         control = [member.address for member in settings.cluster.control]
         self.calls = LeaderCalls(self.client, control)
         self.watch = StateWatch(
@@ -69,7 +70,8 @@
             zone=settings.host.zone,
         )
         self.callers = Callers(self.environment, self._has_state)
-        self.api = Server(secret, entry_routes(self))
+        routes = entry_routes(self)
+        self.api = Server(secret, routes, server_tls(tls), count)
         self.mysql: mysql.CallerServer | None = None
         self.tasks: list[asyncio.Task] = []
         self.drain_task: asyncio.Task | None = None
--- a/chivescale/transport/_client.py
+++ b/chivescale/transport/_client.py
@@ -1,6 +1,7 @@
 """Client side of the transport."""
 
 import asyncio
+import collections.abc
 import ssl
 import typing
 
@@ -22,6 +23,22 @@
 KEEPALIVE_S = 15.0
 
 
+Count = collections.abc.Callable[[str, int], None]
+# Method, version and status of the first line, and the empty line.
+START_LINE_BYTES = 20
+HEADER_MARK_BYTES = 4
+
+
+def message_size(
+    path: str, headers: collections.abc.Iterable, body: bytes
+) -> int:
+    """Return the bytes of an HTTP message, to within a few."""
+    lines = sum(
+        len(name) + len(value) + HEADER_MARK_BYTES for name, value in headers
+    )
+    return START_LINE_BYTES + len(path) + lines + len(body)
+
+
 class Client:
     """Sends signed requests, with one connection pool per address.
 
@@ -31,11 +48,20 @@
         Shared secret.
     tls : ssl.SSLContext, optional
         Client context; plain TCP when absent.
+    count : callable, optional
+        Called as ``count(direction, size)`` with the bytes of each request
+        (``out``) and answer (``in``).
     """
 
-    def __init__(self, secret: bytes, tls: ssl.SSLContext | None = None):
+    def __init__(
+        self,
+        secret: bytes,
+        tls: ssl.SSLContext | None = None,
+        count: Count | None = None,
+    ):
         self.secret = secret
         self.tls = tls
+        self.count = count
         self.sessions: dict[str, aiohttp.ClientSession] = {}
         self.retired: set[asyncio.Task] = set()
 
@@ -106,6 +132,10 @@
             method, url, data=data, headers=headers, ssl=self.tls or True
         ) as answer:
             content = await answer.read()
+            if self.count is not None:
+                sent = answer.request_info.headers.items()
+                self.count("out", message_size(path, sent, data))
+                self.count("in", message_size("", answer.raw_headers, content))
             if answer.status == 200:
                 return decode(content, reply_type)
             return _failure(content, answer.status)
--- a/chivescale/transport/_server.py
+++ b/chivescale/transport/_server.py
@@ -11,6 +11,7 @@
 from chivescale.errors import KIND_TABLE, ErrorKind, Failure, is_failure
 from chivescale.messages import ErrorBody, decode, encode
 from chivescale.telemetry import log_event
+from chivescale.transport._client import Count, message_size
 from chivescale.transport._signature import (
     DEADLINE_HEADER,
     SIGNATURE_HEADER,
@@ -18,6 +19,8 @@
 )
 
 BODY_LIMIT_BYTES = 1 << 20
+# Date, Server and Content-Length, which aiohttp adds when it sends.
+SERVER_HEADER_BYTES = 100
 DEFAULT_DEADLINE_S = 5.0
 MAX_DEADLINE_S = 60.0
 
@@ -81,6 +84,9 @@
         What is served.
     tls : ssl.SSLContext, optional
         Server context.
+    count : callable, optional
+        Called as ``count(direction, size)`` with the bytes of each request
+        (``in``) and answer (``out``).
     """
 
     def __init__(
@@ -88,7 +94,9 @@
         secret: bytes,
         routes: list[Route],
         tls: ssl.SSLContext | None = None,
+        count: Count | None = None,
     ):
+        self.count = count
         self.secret = secret
         self.routes = routes
         self.tls = tls
@@ -115,24 +123,38 @@
 
     def _bind(self, route: Route):
         async def handle(http: web.Request) -> web.Response:
-            request = await self._accept(route, http)
-            if is_failure(request):
-                return reply_failure(request)
-            try:
-                answer = await route.handler(request)
-            except Exception as err:  # one request must not end the process
-                log_event(
-                    "request_error", "error", path=route.path, error=repr(err)
-                )
-                answer = Failure(ErrorKind.INTERNAL, repr(err))
-            if is_failure(answer):
-                return reply_failure(answer)
-            return web.Response(
-                body=encode(answer), content_type="application/json"
-            )
+            response = await self._answer(route, http)
+            if self.count is not None:
+                self._count_exchange(http, response)
+            return response
 
         return handle
 
+    async def _answer(self, route: Route, http: web.Request) -> web.Response:
+        request = await self._accept(route, http)
+        if is_failure(request):
+            return reply_failure(request)
+        try:
+            answer = await route.handler(request)
+        except Exception as err:  # one request must not end the process
+            log_event(
+                "request_error", "error", path=route.path, error=repr(err)
+            )
+            answer = Failure(ErrorKind.INTERNAL, repr(err))
+        if is_failure(answer):
+            return reply_failure(answer)
+        return web.Response(
+            body=encode(answer), content_type="application/json"
+        )
+
+    def _count_exchange(
+        self, http: web.Request, response: web.Response
+    ) -> None:
+        size = message_size(http.raw_path, http.raw_headers, b"")
+        self.count("in", size + (http.content_length or 0))
+        size = message_size("", response.headers.items(), response.body)
+        self.count("out", size + SERVER_HEADER_BYTES)
+
     async def _accept(self, route: Route, http: web.Request):
         if (http.content_length or 0) > route.body_limit:
             return _too_large(route)
