--- a/chivescale/settings/_files.py
+++ b/chivescale/settings/_files.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import pathlib
+import ssl
 
 import msgspec
 
@@ -84,13 +85,26 @@
 
 
 def _check_certificates(settings: Settings) -> collections.abc.Iterator[str]:
-    for key in FILE_KEYS["tls"]:
-        path = getattr(settings.tls, key)
-        if not path:
-            continue
-        try:
-            with open(path, "rb") as file:
-                file.read(1)
-        except (OSError, ValueError) as err:
-            reason = getattr(err, "strerror", None) or err
-            yield f"tls.{key}: {path}: {reason}"
+    """Load every certificate, as the servers will."""
+    tls = settings.tls
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    for port in ("caller", "api"):
+        certificate = getattr(tls, f"{port}_certificate")
+        if certificate:
+            key = getattr(tls, f"{port}_key")
+            reason = _reason(context.load_cert_chain, certificate, key)
+            if reason:
+                yield f"tls.{port}_certificate: {certificate}: {reason}"
+    if tls.api_ca:
+        reason = _reason(context.load_verify_locations, tls.api_ca)
+        if reason:
+            yield f"tls.api_ca: {tls.api_ca}: {reason}"
+
+
+def _reason(load: collections.abc.Callable, *arguments: str) -> str:
+    """Return why loading fails; empty if it does not."""
+    try:
+        load(*arguments)
+    except (OSError, ValueError) as err:
+        return getattr(err, "strerror", None) or str(err)
+    return ""
--- a/chivescale/settings/tests/settings.feature
+++ b/chivescale/settings/tests/settings.feature
@@ -86,6 +86,10 @@
       | secret   | has 15 bytes        | cluster.secret_file: {folder}/secret: 15 bytes, expected 16 |
       | secret   | is a folder         | cluster.secret_file: {folder}/secret: Is a directory |
       | endpoint | has 7 bytes         | cluster.endpoint_secret_file: {folder}/endpoint: 7 bytes, expected 8 |
+      | cert     | is missing          | tls.caller_certificate: {folder}/cert: No such file |
+      | cert     | is no certificate   | tls.caller_certificate: {folder}/cert: [      |
+      | key      | is of another one   | tls.caller_certificate: {folder}/cert: [      |
+      | ca       | is no certificate   | tls.api_ca: {folder}/ca: [                    |
       | settings | is missing          | No such file                                 |
       | settings | is not UTF-8        | codec can't decode                           |
 
--- a/chivescale/settings/tests/steps/settings_steps.py
+++ b/chivescale/settings/tests/steps/settings_steps.py
@@ -6,6 +6,7 @@
 
 import hypothesis
 import msgspec
+import trustme
 from behave import given, then, when
 from hypothesis import strategies
 
@@ -96,7 +97,14 @@
 def example_file(context):
     context.folder = pathlib.Path(tempfile.mkdtemp()).resolve()
     context.add_cleanup(shutil.rmtree, context.folder)
-    (context.folder / "settings").write_text(EXAMPLE)
+    files = "caller_certificate = 'cert'\ncaller_key = 'key'\napi_ca = 'ca'\n"
+    text = EXAMPLE.replace("[tls]\n", "[tls]\n" + files)
+    (context.folder / "settings").write_text(text)
+    authority = trustme.CA()
+    issued = authority.issue_cert("127.0.0.1")
+    issued.private_key_pem.write_to_path(context.folder / "key")
+    issued.cert_chain_pems[0].write_to_path(context.folder / "cert")
+    authority.cert_pem.write_to_path(context.folder / "ca")
     (context.folder / "secret").write_bytes(b"s" * 16 + b"\n")
     (context.folder / "endpoint").write_bytes(b"e" * 8)
 
@@ -117,6 +125,17 @@
     (context.folder / name).write_bytes(b"\xff\xfe")
 
 
+@when("its file {name} is no certificate")
+def file_no_certificate(context, name):
+    (context.folder / name).write_text("text")
+
+
+@when("its file {name} is of another one")
+def file_of_other_certificate(context, name):
+    issued = trustme.CA().issue_cert("127.0.0.1")
+    issued.private_key_pem.write_to_path(context.folder / name)
+
+
 @when("its file {name} has {count:d} bytes")
 def file_of_size(context, name, count):
     (context.folder / name).write_bytes(b"x" * count + b" \n")
--- a/features/operator/daemon.feature
+++ b/features/operator/daemon.feature
@@ -12,6 +12,7 @@
       | a key is misspelled        | entry.toml: entry.dead_line_ms: unknown key |
       | the secret file is missing | entry.toml: cluster.secret_file:        |
       | the API address is in use  | address already in use                  |
+      | the certificate is unusable | entry.toml: tls.caller_certificate:    |
       | the data folder is a file  | data                                    |
 
   Scenario: Checking settings starts nothing
--- a/features/operator/steps/daemon_steps.py
+++ b/features/operator/steps/daemon_steps.py
@@ -51,6 +51,12 @@
     other.listen()
 
 
+@when("the certificate is unusable")
+def bad_certificate(context):
+    keys = ("caller_certificate", "caller_key")
+    context.tables["tls"] = dict.fromkeys(keys, "secret")
+
+
 @when("the data folder is a file")
 def data_folder_is_file(context):
     (context.folder / "data").write_text("")
