--- a/chivescale/settings/tests/settings.feature
+++ b/chivescale/settings/tests/settings.feature
@@ -75,6 +75,9 @@
   Scenario: Every number has a range
     Then each numeric setting and no other key is in the table of ranges
 
+  Scenario: The operations page states every setting
+    Then the page has a row with default and range for each setting
+
   Scenario Outline: Files that settings name
     Given the example settings in a file
     When its file <file> <content>
--- a/chivescale/settings/tests/steps/settings_steps.py
+++ b/chivescale/settings/tests/steps/settings_steps.py
@@ -1,5 +1,6 @@
 """Steps for settings."""
 
+import json
 import pathlib
 import shutil
 import tempfile
@@ -93,6 +94,34 @@
     assert numbers == RANGES.keys(), numbers ^ RANGES.keys()
 
 
+@then("the page has a row with default and range for each setting")
+def page_states_settings(context):
+    page = pathlib.Path(__file__).parents[4] / "docs" / "operations.md"
+    rows = {}
+    for line in page.read_text().splitlines():
+        if line.startswith("| `"):
+            cells = [cell.strip() for cell in line.strip("|").split("|")]
+            rows[cells[0].strip("`")] = cells
+    for section in msgspec.structs.fields(Settings):
+        for field in msgspec.structs.fields(section.type):
+            key = f"{section.name}.{field.name}"
+            assert key in rows, key
+            check_row(key, field, rows[key])
+
+
+def check_row(key, field, row):
+    expected = ""
+    if not field.required:
+        default = field.default
+        if isinstance(default, tuple):
+            default = list(default)
+        expected = f"`{json.dumps(default)}`"
+    assert row[1] == expected, (key, row[1], expected)
+    if key in RANGES:
+        low, high = RANGES[key]
+        assert row[2] == f"{low} to {high}", (key, row[2])
+
+
 @given("the example settings in a file")
 def example_file(context):
     context.folder = pathlib.Path(tempfile.mkdtemp()).resolve()
