Report control hosts without a vote; retry uploads in doubt

Cause: a control host that lost its disk was shown as a candidate while status said healthy, and an upload that met a change of leader ended in doubt although repeating it is safe. Change: status names hosts that follow no leader and learners; the command repeats requests answered with outcome_unknown and similar kinds.

--- a/chivescale/cli/_health.py
+++ b/chivescale/cli/_health.py
@@ -21,14 +21,22 @@
 
 
 def _control_problems(picture: "Picture") -> collections.abc.Iterator[str]:
-    leaders = 0
+    answers = [
+        answer for _, answer in picture.control if not is_failure(answer)
+    ]
+    leader = next((item for item in answers if item.role == "leader"), None)
+    if leader is None:
+        yield "control hosts: no leader"
     for address, answer in picture.control:
         if is_failure(answer):
             yield f"control host {address}: {answer.reason}"
-        elif answer.role == "leader":
-            leaders += 1
-    if not leaders:
-        yield "control hosts: no leader"
+        elif leader is not None and not answer.leader:
+            # So is a host that lost its disk until it is admitted again.
+            yield f"control host {answer.host}: follows no leader"
+    if leader is not None:
+        for member in leader.members:
+            if not member.voter:
+                yield f"control host {member.name}: has no vote yet"
     if picture.state.sheet is None:
         yield "no sheet is in force"
 
--- a/chivescale/cli/_leader.py
+++ b/chivescale/cli/_leader.py
@@ -12,6 +12,8 @@
 FIRST_PAUSE_S = 0.05
 MAX_PAUSE_S = 0.5
 
+# Answers of a host that cannot serve the request now; another one may, or
+# the same one after an election.
 _TRY_NEXT = (
     ErrorKind.UNREACHABLE,
     ErrorKind.TIMEOUT,
@@ -19,6 +21,11 @@
     ErrorKind.NOT_READY,
     ErrorKind.NO_QUORUM,
     ErrorKind.SHUTTING_DOWN,
+    ErrorKind.DID_NOT_RUN,
+    ErrorKind.OUTCOME_UNKNOWN,
+    ErrorKind.OVERLOADED,
+    ErrorKind.DEADLINE_NOT_STARTED,
+    ErrorKind.STORAGE_FAILED,
 )
 
 
--- a/chivescale/cli/_sheet.py
+++ b/chivescale/cli/_sheet.py
@@ -47,11 +47,10 @@
     content = read_file(options.file)
     if is_failure(content):
         return report_failure(content)
-    sheet = _load(options.file)
+    sheet = _parse(options.file, content)
     if isinstance(sheet, Report):
         return sheet
-    text = content.decode("utf-8")
-    return await run_with_system(_upload(text), options)
+    return await run_with_system(_upload(content.decode("utf-8")), options)
 
 
 async def show(system: System, options: argparse.Namespace) -> Report:
@@ -176,6 +175,10 @@
     content = read_file(path)
     if is_failure(content):
         return report_failure(content)
+    return _parse(path, content)
+
+
+def _parse(path: str, content: bytes) -> Sheet | Report:
     sheet, defects = check_sheet(content)
     if sheet is not None:
         return sheet
--- a/chivescale/cli/tests/cli.feature
+++ b/chivescale/cli/tests/cli.feature
@@ -65,6 +65,7 @@
       | 1      | 1     | works                          | 0    | sheet 4 accepted   | 1      |
       | 2      | 1     | works                          | 0    | sheet 4 accepted   | 1      |
       | 2      | 1     | loses its first answer         | 0    | accepted (again)   | 1      |
+      | 2      | 1     | is deposed during the upload   | 0    | accepted (again)   | 1      |
       | 1      | 1     | loses every answer             | 4    | --number 4 to learn | 1     |
       | 1      | 1     | has another sheet of number 4  | 1    | sheet_conflict     | 1      |
       | 1      | 1     | has a sheet of number 5        | 1    | stale_sheet        | 1      |
--- a/chivescale/cli/tests/steps/cli_steps.py
+++ b/chivescale/cli/tests/steps/cli_steps.py
@@ -137,6 +137,11 @@
     context.stub.answers_to_lose = 1
 
 
+@given("the leader is deposed during the upload")
+def deposed(context):
+    context.stub.doubts = 1
+
+
 @given("the leader loses every answer")
 def loses_every(context):
     context.stub.answers_to_lose = 1_000_000
--- a/chivescale/cli/tests/steps/control_stub.py
+++ b/chivescale/cli/tests/steps/control_stub.py
@@ -18,6 +18,8 @@
     ----------
     answers_to_lose : int
         Uploads that take effect without an answer.
+    doubts : int
+        Uploads that take effect and are answered with outcome_unknown.
     accepted : int
         Sheets taken, without repetitions.
     """
@@ -26,6 +28,7 @@
         self.secret = secret
         self.leader = leader
         self.answers_to_lose = 0
+        self.doubts = 0
         self.accepted = 0
         self.answer = SheetAnswer(0, "", 0)
         self.addresses = []
@@ -64,6 +67,9 @@
             if number != self.leader:
                 return self._not_leader()
             answer = self.upload(request.body.number, request.body.content)
+            if self.doubts > 0:
+                self.doubts -= 1
+                return Failure(ErrorKind.OUTCOME_UNKNOWN, "deposed")
             if self.answers_to_lose > 0:
                 self.answers_to_lose -= 1
                 await asyncio.sleep(LOST_S)
--- a/features/operator/steps/system_steps.py
+++ b/features/operator/steps/system_steps.py
@@ -142,6 +142,14 @@
     shutil.rmtree(system.folder / "data" / context.name)
 
 
+@then("the status says that it follows no leader")
+def follows_no_leader(context):
+    text = f"control host {context.name}: follows no leader"
+    context.system.wait_until(
+        lambda: text in status(context)["problems"], text, WAIT_S
+    )
+
+
 @when("the operator replaces it")
 def replace(context):
     def replaced():
--- a/features/operator/system.feature
+++ b/features/operator/system.feature
@@ -24,7 +24,8 @@
   Scenario: A control host that lost its disk is admitted again
     When a control host that does not lead loses its data folder
     And it is started again
-    And the operator replaces it
+    Then the status says that it follows no leader
+    When the operator replaces it
     Then it votes again and holds the same state
     And the status is healthy
 
