--- a/features/operator/environment.py
+++ b/features/operator/environment.py
@@ -1,5 +1,7 @@
 """One system for all scenarios of this directory."""
 
+import shutil
+
 from tools.system import Plan, System
 
 
@@ -16,6 +18,8 @@
 
 
 def after_feature(context, feature):
-    """End its processes."""
+    """End its processes; the logs of a failure are kept."""
     if context.system is not None:
         context.system.close()
+        if feature.status == "passed":
+            shutil.rmtree(context.system.folder)
