--- a/chivescale/control/_leadership.py
+++ b/chivescale/control/_leadership.py
@@ -297,6 +297,11 @@
 
     async def _request(self, service: str, effect) -> None:
         event = await execute(self.client, service, effect)
+        if isinstance(event, fo.PositionAnswered) and not self.closed:
+            # As good as an announcement, and those can get lost.
+            heard = membership.EndpointAnnounced(event.status)
+            now = time.monotonic()
+            self._execute_batches(self.endpoints.step(heard, now))
         if event is not None:
             self._drive(service, event, time.monotonic())
 
--- a/chivescale/failover/_detector.py
+++ b/chivescale/failover/_detector.py
@@ -172,10 +172,13 @@
         if self.last_sent_at is None:
             return [SendProbe(fresh=True)]
         due = now - self.last_sent_at >= self.interval_s
-        if self._late(now) and not self._fresh_pending():
+        late = self._late(now)
+        if late and not self._fresh_pending():
             return [SendProbe(fresh=True)]
-        # A refusing endpoint is probed over new connections anyway.
-        return [SendProbe(fresh=self.verdict != HEALTHY)] if due else []
+        # Further fresh probes follow at the usual interval, so that the loss
+        # of one does not decide. A refusing endpoint gets new connections.
+        fresh = late or self.verdict != HEALTHY
+        return [SendProbe(fresh)] if due else []
 
     def _credit_own_pause(self, now: float) -> None:
         """Move the probes' start by the time this process did not run."""
--- a/chivescale/failover/_failover.py
+++ b/chivescale/failover/_failover.py
@@ -41,6 +41,10 @@
 # terms above each other's would establish none.
 FOREIGN_TERM_S = 1.0
 
+# Members that were not heard of for this long are asked directly: a loss of
+# announcements must not look like a loss of members.
+QUIET_S = 3.0
+
 # Planned changes that failed are not repeated sooner than this.
 PLANNED_RETRY_S = 1.0
 
@@ -342,6 +346,9 @@
         if record.term == 0:
             return []
         effects: list[object] = []
+        for name in self.group.endpoints:
+            if now - self.group.heard_at(name) > QUIET_S:
+                effects += self._ask(name, now)
         for name, known in self.group.known().items():
             if name == record.primary:
                 if known.status.role != "primary":
--- a/chivescale/failover/_group.py
+++ b/chivescale/failover/_group.py
@@ -87,6 +87,12 @@
                 found[name] = known
         return found
 
+    def heard_at(self, endpoint: str) -> float:
+        """Return when the registered incarnation was last heard of."""
+        record = self.endpoints[endpoint]
+        known = self.heard.get((endpoint, record.incarnation))
+        return max(known.heard_at, self.since) if known else self.since
+
     def status(self, member: Member) -> EndpointStatus | None:
         """Return the last status of a voter's own incarnation."""
         known = self.heard.get((member.endpoint, member.incarnation))
--- a/chivescale/failover/_selection.py
+++ b/chivescale/failover/_selection.py
@@ -217,6 +217,9 @@
             lost.append(member)
         elif endpoint and endpoint.leaving:
             leaving.append(member)
+        elif member.endpoint == record.primary:
+            # The watchers judge the primary, from where its callers are.
+            continue
         elif now - heard_at > DEAD_AFTER_S:
             dead.append(member)
     return lost + leaving + dead
--- a/chivescale/failover/tests/failover_driver.py
+++ b/chivescale/failover/tests/failover_driver.py
@@ -132,33 +132,38 @@
             name,
             effect.address,
             run,
-            lambda event: event and self.drive(event),
+            self.answered,
             failed,
             effect.timeout_s,
             getattr(effect, "fresh", False),
         )
 
+    def answered(self, event) -> None:
+        if isinstance(event, fo.PositionAnswered):
+            self.run_table(EndpointAnnounced(event.status))
+        if event is not None:
+            self.drive(event)
+
 
 class World:
     """Endpoints, watchers, two leaders, a log and a network."""
 
-    def __init__(self, seed: int, size: int = 3, spares: int = 1, loss=0.02):
+    def __init__(self, seed: int, spares: int = 1, loss=0.02, pace=1):
         self.rng = random.Random(seed)
         self.now = 0.0
         self.queue: list = []
         self.count = 0
         self.loss = loss
+        self.announcements_lost = False
         self.cut: set[frozenset[str]] = set()
         # Connections that were open when they went silent, per pair.
         self.stuck: set[tuple[str, str]] = set()
         self.phases: list = []
         self.state = ClusterState()
-        self.state.tables["service"].put(
-            SERVICE, ServiceRecord(SERVICE, size), 0
-        )
+        self.state.tables["service"].put(SERVICE, ServiceRecord(SERVICE, 3), 0)
         self.endpoints = {
             f"e{n}": FakeEndpoint(f"e{n}", f"z{n % 3}")
-            for n in range(1, size + spares + 1)
+            for n in range(1, spares + 4)
         }
         self.writes = 0
         self.confirmed: dict[int, tuple[int, int]] = {}
@@ -168,11 +173,12 @@
         self.leaders = [Leader(self, "l1")]
         for name in self.endpoints:
             self.every(1.0, lambda n=name: self.announce(n))
-            self.every(0.004, lambda n=name: self.pull(n))
+            self.every(0.004 * pace, lambda n=name: self.pull(n))
         for host in HOSTS:
-            self.every(0.02, lambda h=host: self.watch(h, fo.Tick()))
+            tick_s = 0.02 if pace == 1 else 0.05
+            self.every(tick_s, lambda h=host: self.watch(h, fo.Tick()))
         self.every(0.02, lambda: [leader.tick() for leader in self.leaders])
-        self.every(0.01, self.write)
+        self.every(0.01 * pace, self.write)
 
     # time
 
@@ -312,7 +318,7 @@
         return endpoint.up and self.now >= endpoint.frozen_until
 
     def announce(self, name: str) -> None:
-        if not self.running(name):
+        if not self.running(name) or self.announcements_lost:
             return
         status = self.endpoints[name].status(self.now)
         late = self.rng.uniform(0, 0.8) if self.rng.random() < 0.1 else 0
@@ -339,7 +345,9 @@
             if self.running(name) and replica.starts == start:
                 replica.take(term, source, answer, self.now)
 
-        if answer is not None:
+        if answer is not None and replica.lagging:
+            replica.contact_at = self.now
+        elif answer is not None:
             self.after(self.delay(), take)
 
     def write(self) -> None:
@@ -389,15 +397,6 @@
 
     # faults
 
-    def disturb(self) -> None:
-        """Do one random fault or repair."""
-        endpoint = self.rng.choice(list(self.endpoints.values()))
-        action = self.rng.choice(
-            ("freeze", "pause", "kill", "restart", "cut", "heal", "stick")
-            + ("second_leader", "new_leader", "leave", "lose_disk")
-        )
-        getattr(self, f"do_{action}")(endpoint)
-
     def do_freeze(self, endpoint) -> None:
         until = self.now + self.rng.uniform(0.5, 4.0)
         endpoint.frozen_until = max(endpoint.frozen_until, until)
@@ -468,14 +467,20 @@
                 endpoint.restart()
 
 
-def run_random(seed: int, steps: int = 40) -> dict[str, int]:
-    """Run `steps` random faults, heal, and require progress."""
+ACTIONS = tuple(
+    name.removeprefix("do_") for name in dir(World) if name.startswith("do_")
+)
+WAITS_S = (0.01, 0.1, 0.5, 1.5)
+
+
+def run_script(seed: int, script) -> World:
+    """Run faults given as (action, endpoint, wait), heal, want progress."""
     world = World(seed)
     try:
         world.register_all()
-        for _ in range(steps):
-            world.disturb()
-            world.run(world.rng.choice((0.01, 0.1, 0.5, 1.5)))
+        for action, name, wait_s in script:
+            getattr(world, f"do_{action}")(world.endpoints[name])
+            world.run(wait_s)
         world.heal_all()
         world.run(12.0)
         before = len(world.confirmed)
@@ -483,6 +488,21 @@
         assert len(world.confirmed) > before, "no progress after healing"
     except AssertionError as err:
         raise AssertionError(f"seed {seed}: {err}") from err
+    return world
+
+
+def run_random(seed: int, steps: int = 40) -> dict[str, int]:
+    """Run `steps` random faults, heal, and require progress."""
+    rng = random.Random(seed)
+    script = [
+        (
+            rng.choice(ACTIONS),
+            f"e{rng.randint(1, 4)}",
+            rng.choice(WAITS_S),
+        )
+        for _ in range(steps)
+    ]
+    world = run_script(seed, script)
     return {
         "confirmed": len(world.confirmed),
         "promotions": world.promotions,
@@ -490,6 +510,33 @@
     }
 
 
+def run_quiet(seed: int, minutes: int = 60) -> World:
+    """Run an hour of what is normal: it must cause no promotion.
+
+    Pauses up to 300 ms, replication lag, lost messages and announcements,
+    connections that stay silent while new ones work, and one entry host
+    that cannot reach the primary.
+    """
+    world = World(seed, spares=0, pace=25)
+    world.register_all()
+    rng, primary = world.rng, world.state.services[SERVICE].primary
+    for _ in range(minutes * 30):
+        endpoint = world.endpoints[rng.choice(list(world.endpoints))]
+        if rng.random() < 0.5:
+            world.do_pause(endpoint)
+        endpoint.lagging = rng.random() < 0.5
+        world.announcements_lost = rng.random() < 0.3
+        if rng.random() < 0.05:
+            world.do_stick(endpoint)
+        if rng.random() < 0.05:
+            world.do_heal(endpoint)
+            world.cut.add(frozenset((rng.choice(HOSTS), primary)))
+        world.run(2.0)
+    reasons = [p.fields["reason"] for _, _, p in world.phases]
+    assert world.promotions == 1, f"seed {seed}: {reasons}"
+    return world
+
+
 if __name__ == "__main__":
     for number in range(int(sys.argv[1]), int(sys.argv[2])):
         print(number, run_random(number, int(sys.argv[3])), flush=True)
--- a/chivescale/failover/tests/group_endpoint.py
+++ b/chivescale/failover/tests/group_endpoint.py
@@ -30,7 +30,7 @@
         self.starts = 1
         self.promised = 0
         self.log: list[Entry] = []
-        self.leaving = False
+        self.leaving = self.lagging = False
         self.up = True
         self.frozen_until = 0.0
         self.role = "fenced"
