--- a/chivescale/agreement/_host.py
+++ b/chivescale/agreement/_host.py
@@ -275,22 +275,31 @@
     # Steps and effects.
 
     def _step(self, event: Event) -> None:
-        pending = [event]
-        while pending and self.failure is None:
-            try:
-                now = time.monotonic()
-                effects = self.machine.step(pending.pop(0), now)
-                for effect in effects:
-                    follow_up = self._execute(effect)
-                    if follow_up is not None:
-                        pending.append(follow_up)
-                    if self.failure is not None:
-                        return
-            except AssertionError as err:
-                # Going on could spread a wrong state to other members.
-                reason = f"{self.name}: invariant violated: {err}"
-                self._stop(Failure(ErrorKind.INTERNAL, reason))
-        self._schedule()
+        try:
+            pending = [event]
+            while pending and self.failure is None:
+                pending += self._handle(pending.pop(0))
+            self._schedule()
+        except AssertionError as err:
+            # Going on could spread a wrong state to other members.
+            self._stop_broken(f"invariant violated: {err}")
+        except Exception as err:
+            # A callback failed, so an entry is applied here only in part.
+            self._stop_broken(f"{err!r}")
+
+    def _handle(self, event: Event) -> list[Event]:
+        """Execute the effects of an event; return the events they cause."""
+        following = []
+        for effect in self.machine.step(event, time.monotonic()):
+            caused = self._execute(effect)
+            if self.failure is not None:
+                break
+            if caused is not None:
+                following.append(caused)
+        return following
+
+    def _stop_broken(self, reason: str) -> None:
+        self._stop(Failure(ErrorKind.INTERNAL, f"{self.name}: {reason}"))
 
     def _schedule(self) -> None:
         if self.failure is not None:
--- a/chivescale/agreement/_peers.py
+++ b/chivescale/agreement/_peers.py
@@ -67,13 +67,20 @@
     def send(self, address: str, message: AgreementMessage) -> None:
         """Send a message; it may be lost."""
         peer = self.peers.setdefault(address, Peer())
-        if peer.silent and peer.calls:
+        # A snapshot takes long; heartbeats must not wait for it.
+        counted = not isinstance(message, SnapshotRequest)
+        if counted and peer.silent and peer.calls:
+            asyncio.get_running_loop().call_soon(self._report_loss, message)
             return
-        peer.calls += 1
+        peer.calls += counted
         task = asyncio.ensure_future(self._call(address, peer, message))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
+    def _report_loss(self, message: AgreementMessage) -> None:
+        if isinstance(message, AppendRequest | SnapshotRequest):
+            self.on_event(Undelivered(message))
+
     async def _call(
         self, address: str, peer: Peer, message: AgreementMessage
     ) -> None:
@@ -88,7 +95,7 @@
                 fresh=peer.silent,
             )
         finally:
-            peer.calls -= 1
+            peer.calls -= not isinstance(message, SnapshotRequest)
         failed = is_failure(answer)
         peer.silent = failed and answer.kind is ErrorKind.TIMEOUT
         if failed == peer.reachable:
@@ -97,10 +104,10 @@
             log_event(
                 "peer", address=address, reachable=not failed, reason=reason
             )
-        if not failed:
+        if failed:
+            self._report_loss(message)
+        else:
             self.on_event(Received(answer))
-        elif isinstance(message, AppendRequest | SnapshotRequest):
-            self.on_event(Undelivered(message))
 
     def _timeout_s(self, message: AgreementMessage) -> float:
         if isinstance(message, SnapshotRequest):
--- a/chivescale/agreement/tests/agreement.feature
+++ b/chivescale/agreement/tests/agreement.feature
@@ -88,6 +88,15 @@
     When a replacement of a healthy member is asked for
     Then the change is refused and all members still vote
 
+  Scenario: The group grows by a member and loses another
+    Given a formed group with 20 commands
+    When a host c5 that names all members is started and admitted
+    And member follower is removed
+    Then the group has 5 voters, c5 among them
+    And everyone agrees and nothing is lost
+    When members leader c5 crash
+    Then a command is accepted within 1 s
+
   Scenario: A member far behind receives a snapshot
     Given a formed group with 20 commands
     When members follower crash
--- a/chivescale/agreement/tests/fakes.py
+++ b/chivescale/agreement/tests/fakes.py
@@ -54,6 +54,7 @@
     name: str
     disk: Disk
     rate: float
+    initial: ag.Configuration
     machine: ag.Agreement | None = None
     state: list = msgspec.field(default_factory=list)
     frozen_until: float = 0.0
@@ -75,9 +76,6 @@
         self.rng = random.Random(seed)
         self.now = 0.0
         self.names = names
-        self.initial = ag.Configuration(
-            tuple(ag.Member(name, name) for name in names)
-        )
         self.numbers = itertools.count(1)
         self.queue: list = []
         self.cuts: set[tuple[str, str]] = set()
@@ -92,14 +90,18 @@
         self.tickets: dict[int, tuple] = {}
         self.confirmed_reads = 0
         self.deliveries = 0
-        self.hosts = {name: self._new_host(name) for name in names}
+        self.hosts: dict[str, Host] = {}
         for name in names:
-            self.start(name)
+            self.add_host(name, names)
 
-    def _new_host(self, name: str) -> Host:
+    def add_host(self, name: str, members: tuple[str, ...]) -> None:
+        """Start a host whose settings name `members`."""
+        initial = ag.Configuration(tuple(ag.Member(n, n) for n in members))
         disk = Disk(f"{name}-{next(self.numbers)}")
         # Clock rates differ by up to 1% (section 2.12 of the design).
-        return Host(name, disk, self.rng.uniform(0.995, 1.005))
+        rate = self.rng.uniform(0.995, 1.005)
+        self.hosts[name] = Host(name, disk, rate, initial)
+        self.start(name)
 
     # Faults.
 
@@ -111,7 +113,7 @@
         rng = random.Random(self.rng.random())
         host.state = []
         host.machine = ag.Agreement(
-            name, self.initial, host.disk.recovered(), TIMING, rng
+            name, host.initial, host.disk.recovered(), TIMING, rng
         )
         self._step(host, ag.Tick())
 
@@ -364,10 +366,8 @@
         return self.run(0.5, lambda: self._all_applied(index))
 
     def _all_applied(self, index: int) -> bool:
-        return all(
-            host.machine is not None and host.machine.applied >= index
-            for host in self.hosts.values()
-        )
+        machines = [self.hosts[name].machine for name in self.names]
+        return all(m is not None and m.applied >= index for m in machines)
 
 
 def _stored_configurations(disk: Disk) -> list[ag.Configuration]:
--- a/chivescale/agreement/tests/steps/agreement_steps.py
+++ b/chivescale/agreement/tests/steps/agreement_steps.py
@@ -149,6 +149,29 @@
     return found is not None and found.voter
 
 
+@when("a host c5 that names all members is started and admitted")
+def add_member(context):
+    context.world.add_host("c5", (*NAMES, "c5"))
+    replace_members(context, "c5")
+
+
+@when("member follower is removed")
+def remove_member(context):
+    world, name = context.world, context.roles["follower"]
+    # The change before has to be committed first.
+    world.run(0.2)
+    world.change(ag.RemoveMember, name)
+    world.names = tuple(n for n in (*NAMES, "c5") if n != name)
+    world.run(1.0)
+
+
+@then("the group has {count:d} voters, c5 among them")
+def group_has_voters(context, count):
+    voters = context.world.leader().machine.configuration.voters
+    assert {member.name for member in voters} == set(context.world.names)
+    assert len(voters) == count
+
+
 @when("the leader is isolated")
 def isolate_leader(context):
     context.world.isolate(context.roles["leader"])
