Find the changes after an index without scanning all records

Cause: changes_since read every record for each watch answer. Change: tables keep their records in order of the last change.

--- a/chivescale/state/_image.py
+++ b/chivescale/state/_image.py
@@ -68,7 +68,7 @@
 
 
 def _rows(table) -> tuple:
+    """Return (index of the last change, record), ascending by index."""
     return tuple(
-        (table.changed[name], table.records[name])
-        for name in sorted(table.records)
+        (index, table.records[name]) for name, index in table.changed.items()
     )
