Test limits and retries; forget service intervals once a queue empties

The fair queue kept the service interval of a stall after it had emptied, so it went on shedding statements that could have started at once (scenario 'A stall does not shed statements after the queue emptied').

--- a/chivescale/limits/__init__.py
+++ b/chivescale/limits/__init__.py
@@ -2,11 +2,16 @@
 
 from chivescale.limits._adaptive import AdaptiveLimit
 from chivescale.limits._bucket import TokenBucket
-from chivescale.limits._leases import LeaseBook, max_min_shares
+from chivescale.limits._leases import (
+    HOST_LEASE_SHARE,
+    LeaseBook,
+    max_min_shares,
+)
 from chivescale.limits._queue import FairQueue
 from chivescale.limits._workspace import WorkspaceLimits
 
 __all__ = [
+    "HOST_LEASE_SHARE",
     "AdaptiveLimit",
     "FairQueue",
     "LeaseBook",
--- a/chivescale/limits/_leases.py
+++ b/chivescale/limits/_leases.py
@@ -5,6 +5,9 @@
 from chivescale.messages import Lease
 
 FLOOR_CONNECTIONS = 1
+# A host treats a lease as expired after this share of the lease time, counted
+# from the moment it sent the heartbeat: clock rates differ by up to 1%.
+HOST_LEASE_SHARE = 0.98
 
 
 class _Share(msgspec.Struct):
@@ -32,13 +35,17 @@
     Parameters
     ----------
     lease_s : float
-        Lease time in seconds. A host counts it from the moment it sent the
-        heartbeat, so its view of a lease ends before the leader's.
+        Lease time in seconds. A host counts `HOST_LEASE_SHARE` of it from
+        the moment it sent the heartbeat, so its view of a lease ends before
+        the leader's.
     floor : int
         Connections that every host gets first.
     started_at : float, optional
         When this host became control leader, in monotonic seconds. Leases
         of the former leader may be in force for one lease time after it.
+        Until then a host without a lease gets the floor, which may exceed
+        the budget by that much; the endpoint's own connection limit is the
+        safeguard.
     """
 
     def __init__(
--- a/chivescale/limits/_queue.py
+++ b/chivescale/limits/_queue.py
@@ -187,4 +187,9 @@
             elapsed = max(0.0, now - self.last_take)
             weight = INTERVAL_WEIGHT if self.interval_s else 1.0
             self.interval_s += weight * (elapsed - self.interval_s)
-        self.last_take = now if self.entries else None
+        self.last_take = now
+        if not self.entries:
+            # The endpoint caught up. An interval kept from an earlier stall
+            # would shed statements that could start at once.
+            self.last_take = None
+            self.interval_s = 0.0
--- /dev/null
+++ b/chivescale/retry/tests/steps/retry_steps.py
@@ -0,0 +1,61 @@
+"""Steps for retries."""
+
+import random
+
+from behave import given, then, when
+
+from chivescale.errors import ErrorKind
+from chivescale.retry import (
+    Attempt,
+    Request,
+    RetryBudget,
+    backoff_s,
+    may_resend,
+)
+
+
+@when("a {request} fails with {kind}, {sent} and {answered}")
+def fails(context, request, kind, sent, answered):
+    kind, _, errno = kind.partition(":")
+    context.attempt = Attempt(
+        Request(request),
+        ErrorKind(kind),
+        sent != "unsent",
+        5.0 if sent == "late" else 20.0,
+        answered == "answered",
+        int(errno or 0),
+    )
+
+
+@then("it may be sent again: {again}")
+def sent_again(context, again):
+    assert may_resend(context.attempt, 10.0) == (again == "yes")
+
+
+@given("a retry budget of {ratio:f} with a burst of {burst:d}")
+def budget(context, ratio, burst):
+    context.budget = RetryBudget(ratio, burst)
+
+
+@when("{count:d} requests each try to retry twice")
+def try_retries(context, count):
+    context.allowed = 0
+    for _ in range(count):
+        context.budget.record_request()
+        context.allowed += context.budget.try_retry()
+        context.allowed += context.budget.try_retry()
+
+
+@then("{low:d} to {high:d} retries were allowed")
+def allowed(context, low, high):
+    assert low <= context.allowed <= high, context.allowed
+
+
+@then("the pauses of attempts 0 to 99 stay within 0.01 to 0.5 s and vary")
+def pauses(context):
+    rng = random.Random(1)
+    for attempt in range(100):
+        bound = min(0.5, 0.01 * 2**attempt)
+        found = [backoff_s(attempt, rng) for _ in range(50)]
+        assert 0 <= min(found) < bound / 4, found
+        assert bound / 2 < max(found) <= bound, found
--- a/chivescale/session/_barriers.py
+++ b/chivescale/session/_barriers.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from chivescale.errors import ErrorKind, Failure
-from chivescale.messages import EndpointStatus, Position
+from chivescale.messages import EndpointStatus
 from chivescale.session._barrier_events import (
     BarrierFailed,
     BarrierReady,
