Test routing; read SET and SELECT statements with trailing comments

Found by the table of statement classes: a trailing comment turned a driver probe such as 'SELECT @@version_comment LIMIT 1 -- x' into a read, and '/*!40101 SET GLOBAL a = 1 */' was forwarded instead of refused.

--- a/chivescale/routing/_local.py
+++ b/chivescale/routing/_local.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from chivescale.errors import ErrorKind, Failure
+from chivescale.routing._text import remove_comments
 
 SERVER_VERSION = "8.0.36-chivescale"
 # Values that drivers ask for on connecting. They describe what the proxy
@@ -65,7 +66,7 @@
     r"(?P<end>,|(?:limit\s+\d+\s*)?;?\s*$)",
     re.IGNORECASE,
 )
-_START = re.compile(r"(?:\s*/\*(?!!).*?\*/)*\s*select\s+", re.I | re.DOTALL)
+_START = re.compile(r"\s*select\s+", re.IGNORECASE)
 _SHOW = re.compile(r"\s*show\s+(count\b|warnings|errors)", re.IGNORECASE)
 
 
@@ -131,7 +132,7 @@
         if show[1].lower() == "count":
             return LocalAnswer(("@@session.warning_count",), ((0,),))
         return LocalAnswer(("Level", "Code", "Message"), ())
-    words = re.sub(r"/\*.*?\*/", " ", sql, flags=re.DOTALL).split()
+    words = remove_comments(sql).split()
     if not words or words[0].lower() == "set":
         return LocalAnswer()
     return Failure(ErrorKind.UNSUPPORTED, "statement has no local answer")
@@ -140,6 +141,7 @@
 @functools.lru_cache(maxsize=512)
 def _items(sql: str) -> tuple[tuple[str, str, str], ...] | None:
     """Return (column, kind, key) of each column, or None if not local."""
+    sql = remove_comments(sql)
     start = _START.match(sql)
     if start is None:
         return None
--- a/chivescale/routing/_set.py
+++ b/chivescale/routing/_set.py
@@ -3,6 +3,7 @@
 import re
 
 from chivescale.errors import ErrorKind, Failure
+from chivescale.routing._text import remove_comments
 
 PREFIX = "chivescale_"
 SESSION_NAMES = (
@@ -23,7 +24,6 @@
     """.split()
 )
 _UTF8 = frozenset("utf8 utf8mb3 utf8mb4 default null".split())
-_COMMENT = re.compile(r"/\*(?!!).*?\*/|--(?=\s|$)[^\n]*|#[^\n]*", re.DOTALL)
 _STRING = r"""'(?:[^'\\]|\\.|'')*'|"(?:[^"\\]|\\.|"")*\""""
 _ASSIGNMENT = re.compile(
     rf"""\s*(?P<name>
@@ -60,7 +60,7 @@
     >>> parse_set("SET @chivescale_key = 'a,b', @@session.autocommit=0")
     (('@chivescale_key', 'a,b'), ('autocommit', '0'))
     """
-    text = _COMMENT.sub(" ", sql).strip().rstrip("; \t\r\n")
+    text = remove_comments(sql).strip().rstrip("; \t\r\n")
     if text[:3].lower() != "set" or len(text) < 5:
         return _refused()
     place = 3
@@ -96,7 +96,7 @@
 
 
 def _classify_unparsed(sql: str) -> str:
-    words = _COMMENT.sub(" ", sql).lower().split()[1:3]
+    words = remove_comments(sql).lower().split()[1:3]
     if not words or words[0] in ("global", "persist", "persist_only"):
         return "unsupported"
     if words[0] in ("password", "role", "default", "resource"):
--- a/chivescale/routing/_text.py
+++ b/chivescale/routing/_text.py
@@ -9,6 +9,11 @@
     r"""|/\*!\d*|/\*.*?\*/|\*/|--(?=\s|$)[^\n]*|\#[^\n]*""",
     re.DOTALL,
 )
+_STRING_OR_COMMENT = re.compile(
+    r"""(?P<kept>'(?:[^'\\]|\\.|'')*'|"(?:[^"\\]|\\.|"")*"|`(?:[^`]|``)*`)"""
+    r"""|/\*!\d*|/\*.*?\*/|\*/|--(?=\s|$)[^\n]*|\#[^\n]*""",
+    re.DOTALL,
+)
 _NEEDS_SCAN = re.compile(r"""['"`#]|/\*|--""")
 
 
@@ -28,6 +33,19 @@
     return sql.strip().rstrip("; \t\r\n").upper()
 
 
+def remove_comments(sql: str) -> str:
+    """Return `sql` without comments; the content of `/*! */` stays.
+
+    Examples
+    --------
+    >>> remove_comments("SET @a = '/* b */' /* c */ -- d").strip()
+    "SET @a = '/* b */'"
+    """
+    if _NEEDS_SCAN.search(sql) is None:
+        return sql
+    return _STRING_OR_COMMENT.sub(lambda match: match["kept"] or " ", sql)
+
+
 def _replace(match: re.Match) -> str:
     text = match[0]
     if text[0] in "'\"":
