Keep confirmations cheap with many waits; cover positions and stale hosts

Every step sorted all waiting positions and collected their terms. It now looks only at replicas that may be asked again, and at the first wait of each term.

--- a/chivescale/session/_confirmations.py
+++ b/chivescale/session/_confirmations.py
@@ -146,10 +146,12 @@
         if not self.waits:
             return None
         times = [self.deadlines[0][0]]
-        current = self.record.term if self.record else 0
-        if any(term < current for term in self._waiting_terms()):
+        if self._has_old_waits():
             times.append(self.next_history)
-        times += [self.next_ask.get(e, 0.0) for e in self._missing()]
+        if self.record is not None:
+            for voter in self.record.voters:
+                if self._smallest_missing(voter) is not None:
+                    times.append(self.next_ask.get(voter, 0.0))
         return min(times)
 
     def step(self, event, now: float) -> list:
@@ -222,28 +224,33 @@
         self._term(record.term).record = record
         self.next_ask.clear()
         self.next_history = 0.0
-        waiting = self._waiting_terms()
-        for term in list(self.terms):
-            if term < record.term and term not in waiting:
+        for term, track in list(self.terms.items()):
+            if term < record.term and not self._waits_of(track):
                 del self.terms[term]
 
-    def _waiting_terms(self) -> set[int]:
-        return {wait.position.term for wait in self.waits.values()}
+    def _waits_of(self, track: _Term) -> list[tuple[int, int]]:
+        """Return the heap of a term; its first entry is still waiting."""
+        while track.waits and track.waits[0][1] not in self.waits:
+            heapq.heappop(track.waits)
+        return track.waits
+
+    def _has_old_waits(self) -> bool:
+        current = self.record.term if self.record else 0
+        return any(
+            term < current and self._waits_of(track)
+            for term, track in self.terms.items()
+        )
 
     def _confirm(self, effects: list) -> None:
         for track in self.terms.values():
             if track.record is None:
                 continue
             mark = self._quorum_position(track)
-            while track.waits and (
-                track.waits[0][0] <= mark
-                or track.waits[0][1] not in self.waits
-            ):
+            while self._waits_of(track) and track.waits[0][0] <= mark:
                 _, write_id = heapq.heappop(track.waits)
-                wait = self.waits.pop(write_id, None)
-                if wait is not None:
-                    _assert_on_quorum(track, wait.position)
-                    effects.append(Confirmed(write_id))
+                wait = self.waits.pop(write_id)
+                _assert_on_quorum(track, wait.position)
+                effects.append(Confirmed(write_id))
 
     def _quorum_position(self, track: _Term) -> float:
         """Return the highest position that a quorum holds.
@@ -291,35 +298,37 @@
         while self.deadlines and self.deadlines[0][1] not in self.waits:
             heapq.heappop(self.deadlines)
 
-    def _missing(self) -> dict[str, int]:
-        """Return the voters to ask and the smallest position they miss."""
+    def _smallest_missing(self, voter: str) -> int | None:
+        """Return the smallest waiting position that a replica misses."""
         record = self.record
-        track = self.terms.get(record.term) if record else None
-        if track is None or not track.waits:
-            return {}
-        positions = sorted(
-            place for place, write_id in track.waits if write_id in self.waits
+        track = self.terms.get(record.term)
+        if voter == record.primary or not self._waits_of(track):
+            return None
+        held = track.held.get(voter, -1)
+        return min(
+            (
+                place
+                for place, write_id in track.waits
+                if place > held and write_id in self.waits
+            ),
+            default=None,
         )
-        missing = {}
-        for voter in record.voters:
-            held = track.held.get(voter, -1)
-            above = [place for place in positions if place > held]
-            if voter != record.primary and above:
-                missing[voter] = above[0]
-        return missing
 
     def _ask(self, now: float, effects: list) -> None:
+        if self.record is None:
+            return
         by_position: dict[int, list[str]] = {}
-        for voter, position in self._missing().items():
-            if now >= self.next_ask.get(voter, 0.0):
+        for voter in self.record.voters:
+            if now < self.next_ask.get(voter, 0.0):
+                continue
+            position = self._smallest_missing(voter)
+            if position is not None:
                 self.next_ask[voter] = now + self.ask_timeout_s
                 by_position.setdefault(position, []).append(voter)
         for position, voters in sorted(by_position.items()):
             place = Position(self.record.term, position)
             effects.append(AskPositions(tuple(voters), place))
-        if self.record is None or now < self.next_history:
-            return
-        if any(term < self.record.term for term in self._waiting_terms()):
+        if now >= self.next_history and self._has_old_waits():
             self.next_history = now + self.ask_timeout_s
             effects.append(AskHistory(self.record.primary, self.record.term))
 
--- a/chivescale/session/tests/random_run.py
+++ b/chivescale/session/tests/random_run.py
@@ -40,7 +40,7 @@
     "replicate": 12,
     "deliver": 70,
     "advance": 10,
-    "publish": 3,
+    "publish": 8,
     "begin": 1,
     "partition": 1,
     "heal": 1,
@@ -122,7 +122,7 @@
 
     def do_publish(self):
         # The second host learns of terms late.
-        host = self.rng.choice(self.hosts[:1] * 4 + self.hosts)
+        host = self.rng.choice(self.hosts[:1] * 10 + self.hosts)
         record = self.rng.choice(self.group.records[-2:])
         if record.term > host.record.term:
             host.record = record
--- a/chivescale/session/tests/session.feature
+++ b/chivescale/session/tests/session.feature
@@ -55,6 +55,23 @@
       | sample@2=2.5 a@3=0:0.0:lost                  | a        | none |
       | b@5=2:0.0:lost late:b@1=2:2.5 sample@2=2.5   | b        | none |
 
+  Scenario Outline: Whether an endpoint holds a position
+    Given term 2 with primary a is published to a freshness record
+    When these answers and samples are noted: <facts>
+    Then <endpoint> holds <position>: <holds>
+
+    Examples:
+      | facts                 | endpoint | position | holds |
+      | b@1=2:2.5             | b        | 2.5      | yes   |
+      | b@1=2:2.5             | b        | 2.6      | no    |
+      | b@1=2:2.5             | b        | 1.99     | yes   |
+      | b@1=2:1.99            | b        | 2.5      | no    |
+      | b@1=2:2.5 b@0=2:2.4   | b        | 2.5      | yes   |
+      | b@1=2:2.5             | c        | 1.1      | no    |
+      | b@1=2:2.5             | a        | 2.99     | yes   |
+      | b@1=2:2.5             | a        | 3.1      | no    |
+      | b@1=3:2.5             | a        | 2.1      | no    |
+
   Scenario: Samples stay bounded and old ones remain usable
     Given term 2 with primary a is published to a freshness record
     When 10000 samples are noted in 10 s
--- a/chivescale/session/tests/steps/session_steps.py
+++ b/chivescale/session/tests/steps/session_steps.py
@@ -113,6 +113,12 @@
     assert (endpoint in within) == (found is not None)
 
 
+@then("{endpoint} holds {position}: {holds}")
+def holds_position(context, endpoint, position, holds):
+    found = context.freshness.holds(endpoint, place_of(position))
+    assert found == (holds == "yes")
+
+
 @when("10000 samples are noted in 10 s")
 def many_samples(context):
     for number in range(10000):
