--- a/chivescale/messages/__init__.py
+++ b/chivescale/messages/__init__.py
@@ -3,6 +3,7 @@
 from chivescale.messages._cluster import (
     AcceptSheet,
     Announcement,
+    Batch,
     BeginTerm,
     Command,
     DrainHost,
@@ -39,14 +40,22 @@
     PromoteReply,
     TermStart,
 )
+from chivescale.messages._operator import (
+    DrainRequest,
+    MemberStatus,
+    ReplaceRequest,
+    Status,
+)
 
 __all__ = [
     "AcceptSheet",
     "Accepted",
     "Announcement",
+    "Batch",
     "BeginTerm",
     "Command",
     "DrainHost",
+    "DrainRequest",
     "EndpointRecord",
     "EndpointStatus",
     "ErrorBody",
@@ -57,6 +66,7 @@
     "HostRecord",
     "Lease",
     "LeaveEndpoint",
+    "MemberStatus",
     "Position",
     "Promise",
     "PromiseReply",
@@ -66,11 +76,13 @@
     "RegisterHost",
     "RemoveEndpoint",
     "RemoveHost",
+    "ReplaceRequest",
     "ServiceBinding",
     "ServiceRecord",
     "SheetAnswer",
     "SheetRecord",
     "SheetUpload",
+    "Status",
     "Suspicion",
     "TermStart",
     "WatchReply",
--- a/chivescale/messages/_cluster.py
+++ b/chivescale/messages/_cluster.py
@@ -180,6 +180,23 @@
     marker: int
 
 
+class Batch(msgspec.Struct, frozen=True, tag=True):
+    """Command: several changes of the membership in one log entry.
+
+    A failing rack or a rolling restart changes many records at once; one
+    entry for all of them keeps the log short.
+    """
+
+    commands: tuple[
+        RegisterHost
+        | RemoveHost
+        | RegisterEndpoint
+        | LeaveEndpoint
+        | RemoveEndpoint,
+        ...,
+    ]
+
+
 Command = (
     AcceptSheet
     | RegisterHost
@@ -190,6 +207,7 @@
     | RemoveEndpoint
     | BeginTerm
     | EstablishTerm
+    | Batch
 )
 
 
@@ -247,10 +265,22 @@
 
 
 class HeartbeatReply(msgspec.Struct, frozen=True):
-    """Answer of the control leader to a heartbeat."""
+    """Answer of the control leader to a heartbeat.
+
+    Attributes
+    ----------
+    leases : tuple of Lease
+        Connections that the host may hold.
+    lease_ms : int
+        How long the leases last.
+    index : int
+        Log index applied on the leader; a host far behind it renews its
+        watch on a fresh connection.
+    """
 
     leases: tuple[Lease, ...] = ()
     lease_ms: int = 3000
+    index: int = 0
 
 
 class Announcement(msgspec.Struct, frozen=True):
