--- a/chivescale/session/tests/barriers.feature
+++ b/chivescale/session/tests/barriers.feature
@@ -72,3 +72,17 @@
     And the endpoints asked are b, d
     When the second round gets the answers b:3:3.92 d:3:3.93
     Then the barrier is 3.93 promised 3 at d
+
+  Scenario: Answers of a round from before a new term do not count
+    Given voters a, b, c with primary a in term 2
+    When read 1 joins and the answers b:2:2.91 arrive
+    And term 3 is published with voters b, c, d and primary c
+    And the first round gets the answers c:3:3.92
+    Then the barrier is open
+
+  Scenario: A barrier is as old as its question, not as its answers
+    Given voters a, b, c with primary a in term 2
+    When read 1 joins and the answers b:2:2.91 arrive
+    And 0.01 s pass
+    And the first round gets the answers c:2:2.91
+    Then the barrier was sent 0.01 s ago
--- a/chivescale/session/tests/steps/barrier_steps.py
+++ b/chivescale/session/tests/steps/barrier_steps.py
@@ -74,6 +74,11 @@
     answer(context, 2, text)
 
 
+@when("the first round gets the answers {text}")
+def first_round(context, text):
+    answer(context, 1, text)
+
+
 @when("{seconds:f} s pass")
 def pass_time(context, seconds):
     end = context.now + seconds
@@ -106,6 +111,12 @@
     assert found == outcome, found
 
 
+@then("the barrier was sent {seconds:f} s ago")
+def sent_ago(context, seconds):
+    (ready,) = [e for e in context.effects if isinstance(e, BarrierReady)]
+    assert abs(context.now - ready.sent_at - seconds) < 1e-9, ready
+
+
 @then("reads {read:d} are ready")
 def reads_ready(context, read):
     ready = [e for e in context.effects if isinstance(e, BarrierReady)]
