--- a/chivescale/failover/_detector.py
+++ b/chivescale/failover/_detector.py
@@ -11,6 +11,10 @@
 DEVIATION_GAIN = 1 / 4
 DEVIATIONS = 4.0
 
+# A single fresh probe can be lost while the endpoint makes a normal pause
+# right after it; the second one is sent half an interval later.
+SILENT_PROBES_NEEDED = 2
+
 # One refused connection can be a restart caught in the act; the repetition
 # follows at once and costs one round trip.
 REFUSALS_NEEDED = 2
@@ -63,7 +67,7 @@
 class Detector:
     """Judges one endpoint by the answers to its probes.
 
-    A verdict of silence rests on a probe over a fresh connection: old
+    A verdict of silence rests on probes over fresh connections: old
     connections can stop responding for good while new ones work.
 
     Parameters
@@ -90,8 +94,8 @@
         self.last_answer_at: float | None = None
         self.last_sent_at: float | None = None
         self.last_tick_at: float | None = None
-        # Time at which the oldest fresh probe that nothing answered left.
-        self.unanswered_fresh_at: float | None = None
+        # When the oldest fresh probes left after which nothing was answered.
+        self.unanswered_at: list[float] = []
         self.refusals = 0
 
     def timeout_s(self) -> float:
@@ -121,8 +125,8 @@
     def _sent(self, event: ProbeSent, now: float) -> list[SendProbe]:
         self.outstanding[event.probe] = Outstanding(now, event.fresh)
         self.last_sent_at = now
-        if event.fresh and self.unanswered_fresh_at is None:
-            self.unanswered_fresh_at = now
+        if event.fresh and len(self.unanswered_at) < SILENT_PROBES_NEEDED:
+            self.unanswered_at.append(now)
         return []
 
     def _answered(self, event: ProbeAnswered, now: float) -> list[SendProbe]:
@@ -131,7 +135,7 @@
             return []
         self._observe(now - probe.sent_at)
         self.last_answer_at = now
-        self.unanswered_fresh_at = None
+        self.unanswered_at = []
         self.refusals = 0
         self.verdict = HEALTHY
         return []
@@ -171,12 +175,15 @@
         self._judge_silence(now)
         if self.last_sent_at is None:
             return [SendProbe(fresh=True)]
-        due = now - self.last_sent_at >= self.interval_s
+        wait_s = self.interval_s
+        if 0 < len(self.unanswered_at) < SILENT_PROBES_NEEDED:
+            wait_s /= 2
+        due = now - self.last_sent_at >= wait_s
         late = self._late(now)
         if late and not self._fresh_pending():
             return [SendProbe(fresh=True)]
-        # Further fresh probes follow at the usual interval, so that the loss
-        # of one does not decide. A refusing endpoint gets new connections.
+        # While the old connections are late, all probes are fresh. A refusing
+        # endpoint gets new connections anyway.
         fresh = late or self.verdict != HEALTHY
         return [SendProbe(fresh)] if due else []
 
@@ -189,9 +196,9 @@
             return
         for probe in self.outstanding.values():
             probe.sent_at = min(probe.sent_at + pause, now)
-        if self.unanswered_fresh_at is not None:
-            moved = self.unanswered_fresh_at + pause
-            self.unanswered_fresh_at = min(moved, now)
+        self.unanswered_at = [
+            min(at + pause, now) for at in self.unanswered_at
+        ]
 
     def _late(self, now: float) -> bool:
         return any(
@@ -203,6 +210,7 @@
         return any(probe.fresh for probe in self.outstanding.values())
 
     def _judge_silence(self, now: float) -> None:
-        since = self.unanswered_fresh_at
-        if since is not None and now - since >= self.timeout_s():
+        if len(self.unanswered_at) < SILENT_PROBES_NEEDED:
+            return
+        if now - self.unanswered_at[-1] >= self.timeout_s():
             self.verdict = SILENT
--- a/chivescale/failover/_watcher.py
+++ b/chivescale/failover/_watcher.py
@@ -23,6 +23,10 @@
 # leader, delays a failover only by this time.
 REPEAT_S = 0.25
 
+# How long a recovery is repeated; the leader forgets a suspicion that is
+# not repeated after the same time.
+WITHDRAWAL_S = 1.0
+
 # Replicas report the age of their last contact. The limit stays above the
 # silence floor because the age includes one idle replication poll.
 DETACHED_CONTACT_MS = 600
@@ -119,6 +123,7 @@
         self.verdict = HEALTHY
         self.reported: tuple[int, str] = (0, HEALTHY)
         self.reported_at = 0.0
+        self.suspected_at = float("-inf")
         self.next_probe = 0
 
     def step(self, event: object, now: float) -> list[Probe | Report]:
@@ -219,16 +224,18 @@
             return []
         self.verdict = self._judge(now)
         current = (record.term, self.verdict)
-        last_term, last_verdict = self.reported
-        if self.verdict == HEALTHY:
-            # A new term starts without suspicion, so only a recovery in the
-            # same term is news.
-            news = last_verdict != HEALTHY and last_term == record.term
-        else:
-            repeat = now - self.reported_at >= REPEAT_S
-            news = current != self.reported or repeat
+        if self.verdict != HEALTHY:
+            self.suspected_at = now
+        elif self.reported[0] != record.term:
+            # A new term starts without suspicion: nothing to withdraw.
+            self.suspected_at = float("-inf")
+        # A lost withdrawal would leave this vote in force and let another
+        # watcher's false alarm make a majority, so it is repeated as well.
+        withdraws = now - self.suspected_at <= WITHDRAWAL_S
+        repeat = now - self.reported_at >= REPEAT_S
+        news = current != self.reported or repeat
         self.reported = current
-        if not news:
+        if self.verdict == HEALTHY and not withdraws or not news:
             return []
         self.reported_at = now
         suspicion = Suspicion(
