--- a/chivescale/failover/__init__.py
+++ b/chivescale/failover/__init__.py
@@ -1,6 +1,6 @@
 """Failure detection and failover of database groups; opens no sockets."""
 
-from chivescale.failover._attempt import Attempt, Plan
+from chivescale.failover._attempt import Attempt
 from chivescale.failover._detector import (
     Detector,
     ProbeAnswered,
@@ -29,6 +29,7 @@
 )
 from chivescale.failover._failover import Failover
 from chivescale.failover._group import Timing
+from chivescale.failover._plan import Plan
 from chivescale.failover._verdicts import AgreedVerdict, Verdicts
 from chivescale.failover._watcher import (
     Probe,
--- a/chivescale/failover/_attempt.py
+++ b/chivescale/failover/_attempt.py
@@ -1,17 +1,23 @@
 """One attempt to establish a term."""
 
-import msgspec
-
 from chivescale.failover import _events as ev
 from chivescale.failover._group import Group, Timing
+from chivescale.failover._plan import (
+    BEGINNING,
+    CHECKING,
+    ESTABLISHING,
+    PROMISING,
+    PROMOTING,
+    Plan,
+    count_voters,
+    is_found,
+    probe_confirms,
+)
 from chivescale.failover._selection import (
-    Member,
     choose_candidate,
-    count_in,
     members_of,
     quorum,
 )
-from chivescale.failover._watcher import DETACHED, DETACHED_CONTACT_MS
 from chivescale.messages import (
     BeginTerm,
     EndpointStatus,
@@ -19,12 +25,6 @@
     Position,
 )
 
-CHECKING = "checking"
-BEGINNING = "beginning"
-PROMISING = "promising"
-PROMOTING = "promoting"
-ESTABLISHING = "establishing"
-
 # After a quorum answered, slower voters get this long: the more advanced
 # the choice, the fewer unconfirmed writes are lost. It covers one round
 # trip between zones and stays small against the failover gap.
@@ -37,32 +37,6 @@
 POSITION_WAIT_MS = 200
 
 
-class Plan(msgspec.Struct, frozen=True):
-    """Why a term begins and with which voters.
-
-    Attributes
-    ----------
-    reason : str
-        Verdict or cause, for the log.
-    suspect : str
-        Primary that failed; empty if none did.
-    since : float
-        When the cause was first seen.
-    needs_probe : bool
-        The verdict has to be confirmed by the leader's own probe.
-    old, new : tuple of Member
-        Voters of the last established term (empty before the first) and
-        of the new term.
-    """
-
-    reason: str
-    suspect: str
-    since: float
-    needs_probe: bool
-    old: tuple[Member, ...]
-    new: tuple[Member, ...]
-
-
 class Attempt:
     """Takes one plan through one term.
 
@@ -88,7 +62,6 @@
         self.timing = timing
         self.avoid = avoid
         self.timeout_s = timeout_s
-        self.old = plan.old
         self.term = 0
         self.phase = CHECKING
         self.outcome = ""
@@ -150,44 +123,12 @@
         self.next_send[endpoint] = now + every_s
         return True
 
-    def _members(self) -> list[str]:
-        names = [member.endpoint for member in self.old + self.plan.new]
-        return list(dict.fromkeys(names))
-
-    def _is_member(self, status: EndpointStatus) -> bool:
-        """Tell whether an answer comes from a voter that counts.
-
-        A voter that lost its disk forgot its promises and its data, so it
-        does not count as the voter it was.
-        """
-        member = Member(status.endpoint, status.incarnation)
-        return member in self.old or member in self.plan.new
-
-    def _counted(self, members: tuple[Member, ...], found) -> int:
-        """Count members among `found`, by endpoint and incarnation."""
-        return sum(
-            member.endpoint in found
-            and found[member.endpoint].incarnation == member.incarnation
-            for member in members
-        )
-
-    def _have_quorums(self, found: dict[str, EndpointStatus]) -> bool:
-        new = self._counted(self.plan.new, found)
-        if not self.old:
-            # Nothing is known of earlier voters: endpoints with data from
-            # an earlier control state are covered only if all answer.
-            return new == len(self.plan.new)
-        old = self._counted(self.old, found)
-        return old >= quorum(len(self.old)) and new >= quorum(
-            len(self.plan.new)
-        )
-
     # checking: reserving a term that cannot get its promises would only
     # fence the few voters within reach.
 
     def _check(self, now: float) -> list[object]:
         effects: list[object] = []
-        for name in self._members():
+        for name in self.plan.members:
             if name in self.answered or name in self.failed:
                 continue
             # A suspect that still answers may be needed for the quorum.
@@ -203,38 +144,25 @@
                         fresh=suspect,
                     )
                 )
-        if not self._have_quorums(self.answered) or not self._waited(
+        if not self.plan.promised_enough(self.answered) or not self._waited(
             self.answered, now
         ):
             return effects
         if self.plan.needs_probe:
-            confirmed = self._probe_confirms()
+            confirmed = probe_confirms(self.plan, self.answered, self.failed)
             if confirmed is None:
                 return effects
             if not confirmed:
                 return self._fail("not_confirmed")
         return effects + self._begin(now)
 
-    def _probe_confirms(self) -> bool | None:
-        """Tell what the leader's own probe says; None while it runs."""
-        if self.plan.reason == DETACHED:
-            cut_off = sum(
-                status.primary == self.plan.suspect
-                and not 0 <= status.primary_contact_ms < DETACHED_CONTACT_MS
-                for status in self.answered.values()
-            )
-            return cut_off >= quorum(len(self.old))
-        if self.plan.suspect in self.answered:
-            return False
-        return True if self.plan.suspect in self.failed else None
-
     def _waited(self, found: dict[str, EndpointStatus], now: float) -> bool:
         """Tell whether all have answered or had the time to."""
         if self.quorum_at is None:
             self.quorum_at = now
         missing = [
             name
-            for name in self._members()
+            for name in self.plan.members
             if name not in found
             and name not in self.failed
             and name != self.plan.suspect
@@ -263,7 +191,7 @@
             return self._fail("term_taken")
         # From here on no lower term can be established, so these are the
         # voters whose promises are needed.
-        if members_of(event.record) != self.old:
+        if members_of(event.record) != self.plan.old:
             return self._fail("voters_changed")
         self._enter(PROMISING, now)
         self.answered = {}
@@ -284,7 +212,7 @@
 
     def _collect_promises(self, now: float) -> list[object]:
         effects: list[object] = []
-        for name in self._members():
+        for name in self.plan.members:
             if name not in self.answered and self._due(
                 name, now, self.timing.promise_timeout_s
             ):
@@ -296,7 +224,7 @@
                         self.timing.promise_timeout_s,
                     )
                 )
-        if not self._have_quorums(self.answered) or not self._waited(
+        if not self.plan.promised_enough(self.answered) or not self._waited(
             self.answered, now
         ):
             return effects
@@ -309,7 +237,7 @@
         status = event.reply.status
         if event.term != self.term or self.phase != PROMISING:
             return []
-        if not self._is_member(status):
+        if not self.plan.counts(status):
             self.failed.add(event.endpoint)
             return []
         # A term belongs to one attempt, so a voter that already holds this
@@ -322,32 +250,28 @@
         return self._collect_promises(now)
 
     def _choose(self) -> str | None:
-        old = tuple(m for m in self.old if self._valid(m))
-        needed = quorum(len(self.old))
-        if not self.old:
+        old = tuple(m for m in self.plan.old if is_found(m, self.answered))
+        needed = quorum(len(self.plan.old))
+        if not self.plan.old:
             old, needed = self.plan.new, len(self.plan.new)
         leaving = {
-            name for name in self._members() if self.group.leaving(name)
+            name for name in self.plan.members if self.group.leaving(name)
         }
         return choose_candidate(
             self.answered,
             old,
-            tuple(m for m in self.plan.new if self._valid(m)),
+            tuple(m for m in self.plan.new if is_found(m, self.answered)),
             needed,
             self.avoid | leaving | {self.plan.suspect},
             self.group.record.primary,
             self.group.zone_hosts,
         )
 
-    def _valid(self, member: Member) -> bool:
-        status = self.answered.get(member.endpoint)
-        return status is not None and status.incarnation == member.incarnation
-
     # promoting: one candidate per term, whatever happens to its answer.
 
     def _start_promotion(self, candidate: str, now: float) -> list[object]:
         assert not self.candidate, "one candidate per term"
-        assert self._have_quorums(self.answered), "promises of a quorum"
+        assert self.plan.promised_enough(self.answered), "promises of a quorum"
         self.candidate = candidate
         self._enter(PROMOTING, now)
         return [self._log(PROMOTING)] + self._send_promote(now)
@@ -370,27 +294,20 @@
             return []
         if event.endpoint != self.candidate:
             return []
-        if not event.reply.accepted or not self._is_member(event.reply.status):
+        if not event.reply.accepted or not self.plan.counts(
+            event.reply.status
+        ):
             return self._fail("promotion_refused")
         self.marker = event.reply.marker
         self._enter(ESTABLISHING, now)
         self._hold(event.reply.status)
-        return self._send_follows() + self._collect_held(now)
-
-    def _send_follows(self) -> list[object]:
-        group = self.group
-        return [
-            ev.SendFollow(
-                name,
-                group.address(name),
-                self.term,
-                self.candidate,
-                group.address(self.candidate),
-                self.timing.promise_timeout_s,
-            )
-            for name in group.endpoints
+        timeout_s = self.timing.promise_timeout_s
+        follows = [
+            self.group.follow(name, self.term, self.candidate, timeout_s)
+            for name in self.group.endpoints
             if name != self.candidate
         ]
+        return follows + self._collect_held(now)
 
     # establishing
 
@@ -399,20 +316,20 @@
             status.last.term == self.term
             and status.last.position >= self.marker.position
         )
-        if reached and self._is_member(status):
+        if reached and self.plan.counts(status):
             self.held.add(status.endpoint)
             self.answered[status.endpoint] = status
 
     def _collect_held(self, now: float) -> list[object]:
         found = {name: self.answered[name] for name in self.held}
-        if self._held_by_quorums(found):
+        if self.plan.held_enough(found):
             # Key "" stands for the proposal itself.
             if self._due("", now, self.timeout_s):
                 return [ev.Propose(self._establish())]
             return []
         effects: list[object] = []
         wait_s = POSITION_WAIT_MS / 1000 + self.timing.promise_timeout_s
-        for name in self._members():
+        for name in self.plan.members:
             if name not in self.held and self._due(name, now, wait_s):
                 effects.append(
                     ev.AskPosition(
@@ -426,13 +343,6 @@
                 )
         return effects
 
-    def _held_by_quorums(self, found: dict[str, EndpointStatus]) -> bool:
-        new = self._counted(self.plan.new, found)
-        if new < quorum(len(self.plan.new)):
-            return False
-        old = self._counted(self.old, found)
-        return not self.old or old >= quorum(len(self.old))
-
     def _establish(self) -> EstablishTerm:
         return EstablishTerm(
             self.group.service,
@@ -447,7 +357,7 @@
         self, event: ev.PositionAnswered, now: float
     ) -> list[object]:
         status = event.status
-        if not self._is_member(status):
+        if not self.plan.counts(status):
             self.failed.add(event.endpoint)
             return self.advance(now)
         if self.phase == CHECKING:
@@ -481,32 +391,10 @@
             self.next_send[event.endpoint] = now + RESEND_S
         return self.advance(now)
 
-    def durations(self) -> dict[str, object]:
-        """Return the time from each phase to the next, in milliseconds."""
-        names = {
-            CHECKING: "check_ms",
-            BEGINNING: "agreement_ms",
-            PROMISING: "promise_ms",
-            PROMOTING: "promote_ms",
-            ESTABLISHING: "establish_ms",
-        }
-        fields: dict[str, object] = {
-            "detection_ms": _ms(self.decided_at - self.plan.since)
-        }
-        times = list(self.entered.items())
-        for (phase, at), (_, until) in zip(times, times[1:], strict=False):
-            fields[names[phase]] = _ms(until - at)
-        fields["total_ms"] = _ms(times[-1][1] - self.plan.since)
-        return fields
-
     def _log(self, phase: str) -> ev.LogPhase:
         fields = {"term": self.term, "reason": self.plan.reason}
         if self.candidate:
             fields["candidate"] = self.candidate
-        promises = count_in(self.old or self.plan.new, self.answered)
+        promises = count_voters(self.plan.old or self.plan.new, self.answered)
         fields["promises"] = promises
         return ev.LogPhase(phase, self.group.service, fields)
-
-
-def _ms(seconds: float) -> float:
-    return round(seconds * 1000, 3)
--- a/chivescale/failover/_failover.py
+++ b/chivescale/failover/_failover.py
@@ -3,15 +3,17 @@
 import random
 
 from chivescale.failover import _events as ev
-from chivescale.failover._attempt import Attempt, Plan
+from chivescale.failover._attempt import Attempt
 from chivescale.failover._group import Group, Timing
+from chivescale.failover._plan import Plan, durations
+from chivescale.failover._reconcile import Reconciler
 from chivescale.failover._selection import (
     Member,
     first_voters,
     plan_voters,
     quorum,
 )
-from chivescale.messages import EndpointStatus, ServiceRecord
+from chivescale.messages import ServiceRecord
 
 STABLE = "stable"
 
@@ -26,10 +28,6 @@
 RETRY_S = 0.05
 RETRY_LIMIT_S = 2.0
 
-# An endpoint whose status shows no or another primary is told again at most
-# this often; its next announcement comes after about a second.
-FOLLOW_AGAIN_S = 0.5
-
 # A leaving primary is replaced when another voter is this close; after the
 # second limit it is replaced at once, since no new work may reach a leaving
 # endpoint 3 s after its announcement.
@@ -41,10 +39,6 @@
 # terms above each other's would establish none.
 FOREIGN_TERM_S = 1.0
 
-# Members that were not heard of for this long are asked directly: a loss of
-# announcements must not look like a loss of members.
-QUIET_S = 3.0
-
 # Planned changes that failed are not repeated sooner than this.
 PLANNED_RETRY_S = 1.0
 
@@ -86,8 +80,7 @@
         self.not_before = now
         self.planned_not_before = now
         self.leaving_since: float | None = None
-        self.followed_at: dict[str, float] = {}
-        self.asked_at: dict[str, float] = {}
+        self.reconciler = Reconciler(self.group, timing)
 
     @property
     def own_term(self) -> int:
@@ -113,7 +106,7 @@
             effects += self._drive(event, now)
         if not self.attempt:
             effects += self._consider(now)
-            effects += self._reconcile(now)
+            effects += self.reconciler.step(now)
         return effects
 
     def _observe(self, event: object, now: float) -> None:
@@ -146,7 +139,7 @@
             self.not_before = max(self.not_before, now + pause_s)
         if record.term != before.term:
             self.established_at = now
-            self.followed_at = {}
+            self.reconciler.followed_at = {}
             self.leaving_since = None
 
     # running attempt
@@ -183,7 +176,7 @@
         fields: dict[str, object] = {
             "term": attempt.term,
             "reason": plan.reason,
-            **attempt.durations(),
+            **durations(attempt.entered, plan.since, attempt.decided_at),
         }
         if attempt.outcome == "established":
             self.failures = 0
@@ -337,65 +330,3 @@
             best.term == last.term
             and best.position + HANDOVER_LAG_ENTRIES >= last.position
         )
-
-    # stable: does everyone follow the primary?
-
-    def _reconcile(self, now: float) -> list[object]:
-        """Tell members that missed it whom to follow."""
-        record = self.group.record
-        if record.term == 0:
-            return []
-        effects: list[object] = []
-        for name in self.group.endpoints:
-            if now - self.group.heard_at(name) > QUIET_S:
-                effects += self._ask(name, now)
-        for name, known in self.group.known().items():
-            if name == record.primary:
-                if known.status.role != "primary":
-                    effects += self._ask(name, now)
-            elif self._astray(known.status):
-                effects += self._follow(name, now)
-        return effects
-
-    def _astray(self, status: EndpointStatus) -> bool:
-        record = self.group.record
-        if status.promised_term > record.term:
-            return False
-        follows = (
-            status.role == "replica"
-            and status.promised_term == record.term
-            and status.primary == record.primary
-        )
-        return not follows
-
-    def _follow(self, name: str, now: float) -> list[object]:
-        record = self.group.record
-        address = self.group.address(record.primary)
-        last = self.followed_at.get(name, float("-inf"))
-        if not address or now - last < FOLLOW_AGAIN_S:
-            return []
-        self.followed_at[name] = now
-        return [
-            ev.SendFollow(
-                name,
-                self.group.address(name),
-                record.term,
-                record.primary,
-                address,
-                self.timing.promise_timeout_s,
-            )
-        ]
-
-    def _ask(self, name: str, now: float) -> list[object]:
-        last = self.asked_at.get(name, float("-inf"))
-        if now - last < FOLLOW_AGAIN_S:
-            return []
-        self.asked_at[name] = now
-        return [
-            ev.AskPosition(
-                name,
-                self.group.address(name),
-                0,
-                self.timing.silence_floor_s,
-            )
-        ]
--- a/chivescale/failover/_group.py
+++ b/chivescale/failover/_group.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from chivescale.failover._events import StateApplied
+from chivescale.failover._events import SendFollow, StateApplied
 from chivescale.failover._selection import (
     DEAD_AFTER_S,
     Known,
@@ -103,6 +103,13 @@
         record = self.endpoints.get(endpoint)
         return record.admin_address if record else ""
 
+    def follow(
+        self, name: str, term: int, primary: str, timeout_s: float
+    ) -> SendFollow:
+        """Return the effect that makes an endpoint follow a primary."""
+        address, target = self.address(name), self.address(primary)
+        return SendFollow(name, address, term, primary, target, timeout_s)
+
     def leaving(self, endpoint: str) -> bool:
         """Tell whether the endpoint asked for no new work."""
         record = self.endpoints.get(endpoint)
--- a/chivescale/failover/_selection.py
+++ b/chivescale/failover/_selection.py
@@ -50,11 +50,6 @@
     return tuple(Member(name, incarnation) for name, incarnation in pairs)
 
 
-def count_in(members: tuple[Member, ...], names) -> int:
-    """Return how many of `members` are in `names`."""
-    return sum(member.endpoint in names for member in members)
-
-
 def acceptable(
     candidate: EndpointStatus,
     promised: dict[str, EndpointStatus],
