--- a/chivescale/agreement/_machine.py
+++ b/chivescale/agreement/_machine.py
@@ -2,7 +2,7 @@
 
 import random
 
-from chivescale.agreement import _election, _members, _replication
+from chivescale.agreement import _election, _follower, _members, _replication
 from chivescale.agreement._events import (
     Apply,
     ConfigurationChanged,
@@ -26,6 +26,7 @@
     TakeSnapshot,
     Tick,
     Timing,
+    Undelivered,
 )
 from chivescale.agreement._log import MemoryLog, require
 from chivescale.agreement._messages import (
@@ -171,6 +172,8 @@
                 self._tick(now)
             case Received(message):
                 self._receive(message, now)
+            case Undelivered(message):
+                _replication.on_undelivered(self, message, now)
             case Propose():
                 _replication.propose(self, event, now)
             case ConfirmRead(ticket):
@@ -224,9 +227,9 @@
             case VoteReply():
                 _election.on_vote_reply(self, message, now)
             case AppendRequest():
-                _replication.on_append(self, message, now)
+                _follower.on_append(self, message, now)
             case SnapshotRequest():
-                _replication.on_snapshot(self, message, now)
+                _follower.on_snapshot(self, message, now)
             case AppendReply():
                 if header.term > self.term:
                     self.become_follower(header.term, None, now)
--- a/chivescale/agreement/_replication.py
+++ b/chivescale/agreement/_replication.py
@@ -1,4 +1,4 @@
-"""Log replication, commit, read confirmation and the quorum check."""
+"""Leader side of replication: commit, read rounds and quorum check."""
 
 import msgspec
 
@@ -15,7 +15,6 @@
     AppendRequest,
     Configuration,
     Entry,
-    Header,
     Member,
     SnapshotRequest,
 )
@@ -26,7 +25,8 @@
 # More than this many entries without a quorum means that the group cannot
 # keep up; new commands are refused before they take effect.
 MAX_UNCOMMITTED = 8192
-# A snapshot may have 64 MiB and is not sent again before this time.
+# A snapshot may have 64 MiB. Unless the transport reports its loss, it is
+# not sent again before this time.
 SNAPSHOT_TIMEOUT_S = 5.0
 KEPT_ROUNDS = 128
 
@@ -150,25 +150,48 @@
         _send_next(machine, member, now, heartbeat=False)
 
 
+def _recent(machine, progress: Progress, now: float) -> bool:
+    age = now - progress.contact
+    return age < machine.timing.election_timeout_s
+
+
+def in_contact(machine, member: Member, now: float) -> bool:
+    """Tell whether a member answered within the election timeout."""
+    key = (member.name, member.incarnation)
+    progress = machine.leading.progress.get(key)
+    if progress is None or progress.acked_round == 0:
+        return False
+    return _recent(machine, progress, now)
+
+
 def _send_next(machine, member: Member, now: float, *, heartbeat: bool):
+    """Send what a member needs next.
+
+    One that does not answer gets heartbeats only. Its first answer brings
+    the entries, so nothing large is sent to a member that is gone.
+    """
     log = machine.log
     progress = progress_of(machine, member, now)
     following = progress.match + 1 if progress.matched else progress.next
-    if following <= log.base_index:
-        _send_snapshot(machine, member, progress, now)
-        if heartbeat:
-            _send_append(machine, member, progress.match, ())
-        return
     pending = not progress.matched or following <= log.last_index
-    if pending and now >= progress.sent_until:
-        entries = log.slice(following, MAX_BATCH_ENTRIES, MAX_BATCH_BYTES)
-        progress.sent_until = now + machine.timing.election_timeout_s
-        progress.sent_last = following - 1 + len(entries)
-        _send_append(machine, member, following - 1, entries)
-    elif heartbeat:
+    if following <= log.base_index:
+        if in_contact(machine, member, now):
+            _send_snapshot(machine, member, progress, now)
+    elif pending and now >= progress.sent_until:
+        if _recent(machine, progress, now):
+            _send_batch(machine, member, progress, following, now)
+            return
+    if heartbeat:
         _send_append(machine, member, progress.match, ())
 
 
+def _send_batch(machine, member, progress, following, now: float) -> None:
+    entries = machine.log.slice(following, MAX_BATCH_ENTRIES, MAX_BATCH_BYTES)
+    progress.sent_until = now + machine.timing.election_timeout_s
+    progress.sent_last = following - 1 + len(entries)
+    _send_append(machine, member, following - 1, entries)
+
+
 def _send_append(machine, member, prev_index, entries) -> None:
     prev_term = machine.log.term_at(prev_index)
     if prev_term is None:
@@ -197,100 +220,6 @@
     machine.send(member.address, request)
 
 
-# Follower side.
-
-
-def _accept_leader(machine, header: Header, now: float) -> bool:
-    """Follow the sender unless its term is over."""
-    if header.term < machine.term:
-        return False
-    known = machine.configuration.find(header.sender)
-    address = known.address if known else ""
-    leader = Member(header.sender, address, header.sender_incarnation)
-    machine.become_follower(header.term, leader, now)
-    return True
-
-
-def _reply(machine, request, ok: bool, prev_index: int, match_index: int):
-    reply = AppendReply(
-        header=machine.reply_header(request.header),
-        ok=ok,
-        prev_index=prev_index,
-        match_index=match_index,
-        round=request.round,
-    )
-    machine.send(machine.leader_address, reply)
-
-
-def on_append(machine, request: AppendRequest, now: float) -> None:
-    """Take over entries of the leader."""
-    prev = request.prev_index
-    if not _accept_leader(machine, request.header, now):
-        _reply(machine, request, False, prev, 0)
-        return
-    if not _matches(machine, request):
-        _reply(machine, request, False, prev, _match_hint(machine, prev))
-        return
-    for entry in request.entries:
-        _take_over(machine, entry)
-    last = prev + len(request.entries)
-    machine.commit = max(machine.commit, min(request.commit, last))
-    _reply(machine, request, True, prev, last)
-
-
-def _matches(machine, request: AppendRequest) -> bool:
-    log, prev = machine.log, request.prev_index
-    if prev > log.last_index:
-        return False
-    if prev < log.base_index or prev == 0:
-        return True
-    same = log.term_at(prev) == request.prev_term
-    require(same or prev > machine.commit, "committed entry differs")
-    return same
-
-
-def _match_hint(machine, prev: int) -> int:
-    """Return the highest index at which the logs may agree.
-
-    A conflicting term is skipped as a whole, so that a long divergent
-    tail costs one message per term instead of one per entry.
-    """
-    log = machine.log
-    if prev > log.last_index:
-        return log.last_index
-    term, index = log.term_at(prev), prev
-    while index > machine.commit and log.term_at(index) == term:
-        index -= 1
-    return index
-
-
-def _take_over(machine, entry: Entry) -> None:
-    log = machine.log
-    if entry.index <= log.base_index:
-        return
-    if entry.index <= log.last_index:
-        if log.term_at(entry.index) == entry.term:
-            same = log.entry(entry.index) == entry
-            require(same, "two entries with one index and term")
-            return
-        machine.truncate_from(entry.index)
-    machine.append(entry)
-
-
-def on_snapshot(machine, request: SnapshotRequest, now: float) -> None:
-    """Take over a snapshot of the leader."""
-    index = request.snapshot.index
-    if not _accept_leader(machine, request.header, now):
-        _reply(machine, request, False, index, 0)
-        return
-    if index > machine.commit:
-        machine.install(request.snapshot)
-    _reply(machine, request, True, index, index)
-
-
-# Leader side.
-
-
 def on_reply(machine, reply: AppendReply, now: float) -> None:
     """Note the progress of a member and send what follows."""
     header = reply.header
@@ -311,6 +240,19 @@
     _send_next(machine, member, now, heartbeat=False)
 
 
+def on_undelivered(machine, message, now: float) -> None:
+    """Repeat a batch or snapshot that got no answer."""
+    header = message.header
+    key = (header.target, header.target_incarnation)
+    progress = machine.leading.progress.get(key)
+    if machine.role is not Role.LEADER or progress is None:
+        return
+    if isinstance(message, SnapshotRequest):
+        progress.snapshot_until = 0.0
+    else:
+        progress.sent_until = 0.0
+
+
 def _note_match(machine, progress: Progress, reply: AppendReply) -> None:
     last = machine.log.last_index
     require(reply.match_index <= last, "member is ahead of its leader")
--- a/chivescale/settings/tests/settings.feature
+++ b/chivescale/settings/tests/settings.feature
@@ -75,6 +75,9 @@
   Scenario: Every number has a range
     Then each numeric setting and no other key is in the table of ranges
 
+  Scenario: The operations page states every setting
+    Then the page has a row with default and range for each setting
+
   Scenario Outline: Files that settings name
     Given the example settings in a file
     When its file <file> <content>
@@ -86,6 +89,10 @@
       | secret   | has 15 bytes        | cluster.secret_file: {folder}/secret: 15 bytes, expected 16 |
       | secret   | is a folder         | cluster.secret_file: {folder}/secret: Is a directory |
       | endpoint | has 7 bytes         | cluster.endpoint_secret_file: {folder}/endpoint: 7 bytes, expected 8 |
+      | cert     | is missing          | tls.caller_certificate: {folder}/cert: No such file |
+      | cert     | is no certificate   | tls.caller_certificate: {folder}/cert: [      |
+      | key      | is of another one   | tls.caller_certificate: {folder}/cert: [      |
+      | ca       | is no certificate   | tls.api_ca: {folder}/ca: [                    |
       | settings | is missing          | No such file                                 |
       | settings | is not UTF-8        | codec can't decode                           |
 
