--- a/chivescale/control/_routes.py
+++ b/chivescale/control/_routes.py
@@ -1,6 +1,7 @@
 """Requests that a control host serves."""
 
 import asyncio
+import time
 import typing
 
 from chivescale.agreement import Role
@@ -111,14 +112,34 @@
         leader=agreement.leader_address,
         index=state.index,
         sheet=state.sheet.number if state.sheet else 0,
-        members=tuple(
-            MemberStatus(member.name, member.address, member.voter)
-            for member in agreement.configuration.members
-        ),
+        members=_members(host),
         live_hosts=leadership.live_hosts() if leadership else (),
     )
 
 
+def _members(host: "ControlHost") -> tuple[MemberStatus, ...]:
+    """Return the members; only a leader knows how far they are."""
+    agreement, machine = host.agreement, host.agreement.machine
+    progress = {}
+    if machine is not None and machine.role is Role.LEADER:
+        progress = machine.leading.progress
+    now = time.monotonic()
+    members = []
+    for member in agreement.configuration.members:
+        match, contact_ms = -1, -1
+        if member.name == agreement.name and progress:
+            match, contact_ms = machine.log.last_index, 0
+        elif known := progress.get((member.name, member.incarnation)):
+            match = known.match
+            contact_ms = max(0, int((now - known.contact) * 1000))
+        members.append(
+            MemberStatus(
+                member.name, member.address, member.voter, match, contact_ms
+            )
+        )
+    return tuple(members)
+
+
 async def _show_sheet(
     host: "ControlHost", request: Request
 ) -> SheetAnswer | Failure:
