--- a/chivescale/control/tests/control_system.py
+++ b/chivescale/control/tests/control_system.py
@@ -1,30 +1,21 @@
-"""Control hosts, entry stubs and stand-in endpoints in one process."""
+"""Control hosts, entry hosts and stand-in endpoints in one process."""
 
 import asyncio
 import pathlib
 import socket
 import time
 
-from chivescale import failover as fo
 from chivescale.control import ControlHost
-from chivescale.errors import ErrorKind, Failure, is_failure
-from chivescale.membership import watchers_of
+from chivescale.entry import EntryHost
+from chivescale.errors import ErrorKind, is_failure
 from chivescale.messages import (
-    Accepted,
-    Announcement,
-    EndpointStatus,
-    Heartbeat,
-    HeartbeatReply,
-    HostRecord,
     ServiceBinding,
     ServiceRecord,
-    WatchReply,
     WorkspaceRecord,
 )
 from chivescale.settings import parse_settings
 from chivescale.sheet import format_sheet, make_sheet
-from chivescale.state import ClusterState
-from chivescale.transport import Client, Route, Server
+from chivescale.telemetry import Metrics
 from chivescale_standin import Endpoint, StandinSettings
 
 SECRET = b"a secret that is long enough for tests"
@@ -48,138 +39,8 @@
         return f"127.0.0.1:{sock.getsockname()[1]}"
 
 
-class EntryStub:
-    """What an entry host does towards the control hosts."""
-
-    def __init__(self, name: str, zone: str, control: list[str]):
-        self.name = name
-        self.control = control
-        self.address = free_address()
-        self.record = HostRecord(name, zone, self.address, "", "1")
-        self.client = Client(SECRET)
-        self.leader = control[0]
-        self.state = ClusterState()
-        self.watchers: dict[str, fo.Watcher] = {}
-        self.heartbeat_reply: HeartbeatReply | None = None
-        self.tasks: list[asyncio.Task] = []
-        route = Route(
-            "POST", "/v1/endpoints/announce", self.announce, Announcement
-        )
-        self.server = Server(SECRET, [route])
-
-    async def start(self) -> None:
-        await self.server.start(self.address)
-        for loop in (self.beat, self.follow, self.probe):
-            self.tasks.append(asyncio.create_task(loop()))
-
-    async def stop(self) -> None:
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
-        await self.server.close()
-        await self.client.close()
-
-    async def call(self, method, path, reply_type, body=None, tries=20):
-        """Ask the leader, wherever it is."""
-        answer = Failure(ErrorKind.UNREACHABLE, "not asked")
-        for number in range(tries):
-            answer = await self.client.call(
-                self.leader, method, path, reply_type, body, timeout_s=2.0
-            )
-            if not is_failure(answer):
-                return answer
-            if answer.kind not in (
-                ErrorKind.NOT_LEADER,
-                ErrorKind.UNREACHABLE,
-                ErrorKind.TIMEOUT,
-                ErrorKind.OUTCOME_UNKNOWN,
-            ):
-                return answer
-            following = self.control[number % len(self.control)]
-            self.leader = answer.redirect or following
-            await asyncio.sleep(0.05)
-        return answer
-
-    async def announce(self, request):
-        return await self.call(
-            "POST", "/v1/endpoints/announce", Accepted, request.body
-        )
-
-    async def beat(self) -> None:
-        while True:
-            reply = await self.call(
-                "POST",
-                "/v1/hosts/heartbeat",
-                HeartbeatReply,
-                Heartbeat(self.record, self.state.index),
-            )
-            if not is_failure(reply):
-                self.heartbeat_reply = reply
-            await asyncio.sleep(0.5)
-
-    async def follow(self) -> None:
-        number = 0
-        while True:
-            address = self.control[number % len(self.control)]
-            path = f"/v1/watch?after={self.state.index}&wait_ms=1000"
-            reply = await self.client.call(
-                address, "GET", path, WatchReply, timeout_s=1.5
-            )
-            if is_failure(reply):
-                number += 1
-                await asyncio.sleep(0.05)
-            elif self.state.merge(reply):
-                self.show()
-
-    def show(self) -> None:
-        for name, record in self.state.services.items():
-            assigned = watchers_of(name, self.state.hosts.values(), 3)
-            if self.name not in assigned:
-                self.watchers.pop(name, None)
-                continue
-            watcher = self.watchers.setdefault(
-                name, fo.Watcher(self.name, name)
-            )
-            endpoints = tuple(self.state.endpoints.values())
-            self.drive(watcher, fo.WatchService(record, endpoints))
-
-    async def probe(self) -> None:
-        while True:
-            await asyncio.sleep(0.02)
-            for watcher in list(self.watchers.values()):
-                self.drive(watcher, fo.Tick())
-
-    def drive(self, watcher: fo.Watcher, event) -> None:
-        for effect in watcher.step(event, time.monotonic()):
-            if isinstance(effect, fo.Report):
-                call = self.call(
-                    "POST", "/v1/suspicions", Accepted, effect.suspicion, 5
-                )
-            else:
-                call = self.run_probe(watcher, effect)
-            task = asyncio.create_task(call)
-            self.tasks.append(task)
-            task.add_done_callback(self.tasks.remove)
-
-    async def run_probe(self, watcher, effect) -> None:
-        status = await self.client.call(
-            effect.address,
-            "GET",
-            "/v1/position",
-            EndpointStatus,
-            timeout_s=effect.timeout_s,
-            fresh=effect.fresh,
-        )
-        name, probe = effect.endpoint, effect.probe
-        if is_failure(status):
-            refused = status.kind is ErrorKind.UNREACHABLE
-            self.drive(watcher, fo.ProbeError(name, probe, refused))
-        else:
-            self.drive(watcher, fo.ProbeReply(name, probe, status))
-
-
 class System:
-    """A whole system but for the callers."""
+    """A whole system in one event loop."""
 
     def __init__(self, folder: str, control: int = 3, entries: int = 3):
         self.folder = pathlib.Path(folder)
@@ -187,7 +48,7 @@
         self.addresses = [free_address() for _ in range(control)]
         self.control: dict[str, ControlHost] = {}
         self.entries = [
-            EntryStub(f"h{n}", f"z{n}", self.addresses)
+            EntryHost(self.settings(f"h{n}"), SECRET, Metrics())
             for n in range(1, entries + 1)
         ]
         self.endpoints: dict[str, Endpoint] = {}
@@ -197,11 +58,17 @@
             f"[[cluster.control]]\nname = 'c{n}'\naddress = '{address}'\n"
             for n, address in enumerate(self.addresses, 1)
         )
-        address = self.addresses[int(name[1:]) - 1]
+        if name.startswith("c"):
+            address = self.addresses[int(name[1:]) - 1]
+            listen = f"control_api = '{address}'\n"
+        else:
+            api, mysql = free_address(), free_address()
+            listen = f"api = '{api}'\nmysql = '{mysql}'\n"
+        role = "control" if name.startswith("c") else "entry"
         text = (
-            f"[host]\nname = '{name}'\nzone = 'z1'\nroles = ['control']\n"
-            f"data_dir = '{self.folder / name}'\n"
-            f"[listen]\ncontrol_api = '{address}'\n"
+            f"[host]\nname = '{name}'\nzone = 'z{name[1:]}'\n"
+            f"roles = ['{role}']\ndata_dir = '{self.folder / name}'\n"
+            f"[listen]\n{listen}"
             f"[cluster]\nsecret_file = '{self.folder / 'secret'}'\n{members}"
         )
         settings = parse_settings(text)
@@ -232,7 +99,7 @@
             str(self.folder / name),
             str(self.folder / "secret"),
             f"z{name[1:]}",
-            announce_to=tuple(entry.address for entry in self.entries),
+            announce_to=tuple(e.settings.listen.api for e in self.entries),
             announce_ms=200,
         )
         self.endpoints[name] = Endpoint(settings)
@@ -256,6 +123,25 @@
                 return host
         return None
 
+    async def call(self, method, path, reply_type, body=None):
+        """Ask the leader, wherever it is, until it answers."""
+        deadline = time.monotonic() + 20
+        while True:
+            answer = await self.entries[0].calls.call(
+                method, path, reply_type, body, deadline
+            )
+            retry = is_failure(answer) and answer.kind in (
+                ErrorKind.NOT_LEADER,
+                ErrorKind.UNREACHABLE,
+                ErrorKind.TIMEOUT,
+                ErrorKind.OUTCOME_UNKNOWN,
+                # A host or member that is about to report itself.
+                ErrorKind.UNKNOWN_MEMBER,
+            )
+            if not retry or time.monotonic() > deadline:
+                return answer
+            await asyncio.sleep(0.05)
+
     async def until(self, condition, timeout_s: float = 20.0):
         """Wait for a condition and return its value."""
         deadline = time.monotonic() + timeout_s
@@ -270,7 +156,9 @@
         """Wait until every entry host knows a term above `above`."""
 
         def found():
-            records = [e.state.services.get(service) for e in self.entries]
+            records = [
+                e.watch.state.services.get(service) for e in self.entries
+            ]
             if all(r and r.term > above for r in records):
                 return records[0]
             return None
--- a/chivescale/control/tests/steps/control_steps.py
+++ b/chivescale/control/tests/steps/control_steps.py
@@ -1,11 +1,11 @@
-"""Steps that run control hosts, entry stubs and endpoints in one loop."""
+"""Steps that run control hosts, entry hosts and endpoints in one loop."""
 
 import asyncio
-import collections
 import shutil
 import tempfile
 import time
 
+from absl import logging
 from behave import given, then, when
 
 from chivescale.control.tests.control_system import System, sheet
@@ -29,17 +29,27 @@
 }
 
 
-def run(context, coroutine):
-    return context.loop.run_until_complete(coroutine)
+def run(context, awaitable):
+    return context.loop.run_until_complete(awaitable)
+
+
+async def stop_all(system: System) -> None:
+    await system.stop()
+    # Requests to frozen endpoints are still open.
+    tasks = asyncio.all_tasks() - {asyncio.current_task()}
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
 
 
 def start_system(context, entries: int, endpoints: int) -> None:
     folder = tempfile.mkdtemp()
+    logging.set_verbosity(logging.ERROR)
     context.loop = asyncio.new_event_loop()
     context.system = System(folder, entries=entries)
 
     def clean():
-        run(context, context.system.stop())
+        run(context, stop_all(context.system))
         context.loop.close()
         shutil.rmtree(folder)
 
@@ -51,8 +61,8 @@
 
 def upload(context, number: int, content: str):
     body = SheetUpload(number, SHEETS[content])
-    entry = context.system.entries[0]
-    return run(context, entry.call("POST", "/v1/sheet", SheetAnswer, body))
+    call = context.system.call("POST", "/v1/sheet", SheetAnswer, body)
+    return run(context, call)
 
 
 def ask(context, address: str, path: str, reply_type, method="GET"):
@@ -212,8 +222,8 @@
     run(context, system.stop_control("c3"))
     shutil.rmtree(system.folder / "c3")
     run(context, system.start_control("c3"))
-    call = system.entries[0].call(
-        "POST", "/v1/members/replace", Accepted, ReplaceRequest("c3"), 40
+    call = system.call(
+        "POST", "/v1/members/replace", Accepted, ReplaceRequest("c3")
     )
     answer = run(context, call)
     assert not is_failure(answer), answer
@@ -234,26 +244,23 @@
 
 @then("the leases of all entry hosts together respect the limits")
 def leases_respect_limits(context):
-    entries = context.system.entries
+    system = context.system
+    leader = run(context, system.until(lambda: system.leader))
 
     def granted():
-        replies = [entry.heartbeat_reply for entry in entries]
-        return all(r and len(r.leases) == 3 for r in replies)
+        book, now = leader.leadership.leases, time.monotonic()
+        return [book.granted(name, now) for name in system.endpoints]
 
-    run(context, context.system.until(granted))
-    total = collections.Counter()
-    for entry in entries:
-        for lease in entry.heartbeat_reply.leases:
-            assert lease.connections >= 1, lease
-            total[lease.endpoint] += lease.connections
-    limits = entries[0].state.endpoints
-    for endpoint, connections in total.items():
-        assert connections <= limits[endpoint].connection_limit, total
+    # Every host has at least the floor of one connection.
+    run(context, system.until(lambda: min(granted()) >= 3))
+    limits = leader.state.endpoints
+    for name, count in zip(system.endpoints, granted(), strict=True):
+        assert count <= limits[name].connection_limit, (name, count)
 
 
 @when("an operator drains h2")
 def drains_h2(context):
-    call = context.system.entries[0].call(
+    call = context.system.call(
         "POST", "/v1/hosts/drain", Accepted, DrainRequest("h2")
     )
     answer = run(context, call)
