--- a/chivescale/control/_leadership.py
+++ b/chivescale/control/_leadership.py
@@ -84,6 +84,7 @@
         self.verdicts = fo.Verdicts()
         self.leases = LeaseBook(LEASE_S, started_at=now)
         self.failovers: dict[str, fo.Failover] = {}
+        self.watchers: dict[str, tuple[str, ...]] = {}
         self.idle: collections.deque[str] = collections.deque()
         self.idle_credit = 0.0
         self.tasks: set[asyncio.Task] = set()
@@ -122,7 +123,7 @@
             now = time.monotonic()
             try:
                 self._tick(now, now - last)
-            except Exception as err:  # one service must not stop the others
+            except Exception as err:  # without ticks nothing would fail over
                 log_event("leader_error", "error", error=repr(err))
             last = now
 
@@ -160,6 +161,7 @@
         now = time.monotonic()
         state = self.state
         if hosts:
+            self.watchers.clear()
             event = membership.HostsApplied(tuple(state.hosts.values()))
             self._execute_batches(self.hosts.step(event, now))
         if endpoints:
@@ -244,9 +246,13 @@
         record = self.state.services.get(service)
         if record is None or record.term == 0:
             return
-        watchers = membership.watchers_of(
-            service, self.state.hosts.values(), self.settings.failover.watchers
-        )
+        watchers = self.watchers.get(service)
+        if watchers is None:
+            watchers = self.watchers[service] = membership.watchers_of(
+                service,
+                self.state.hosts.values(),
+                self.settings.failover.watchers,
+            )
         alive = tuple(h for h in watchers if self.hosts.alive(h, now))
         agreed = self.verdicts.agreed(
             service, record.term, record.primary, alive, now
@@ -268,9 +274,27 @@
         failover = self.failovers.get(service)
         if failover is None or self.closed:
             return
-        for effect in failover.step(event, now):
+        try:
+            effects = failover.step(event, now)
+        except Exception as err:  # one service must not stop the others
+            self._restart(service, repr(err), now)
+            return
+        for effect in effects:
             self._execute(service, effect)
 
+    def _restart(self, service: str, reason: str, now: float) -> None:
+        """Begin anew after a fault, as a new leader would.
+
+        Nothing of the earlier attempt is resumed, so whatever was wrong in
+        it cannot establish its term.
+        """
+        self.counts["failover_errors"] += 1
+        log_event("failover_error", "error", service=service, reason=reason)
+        old = self.failovers[service]
+        new = fo.Failover(service, self.timing, self.rng, now, old.group)
+        new.not_before = now + self.timing.attempt_timeout_s
+        self.failovers[service] = new
+
     def _execute(self, service: str, effect: object) -> None:
         if isinstance(effect, fo.LogPhase):
             self._log_phase(effect)
--- a/chivescale/control/tests/control.feature
+++ b/chivescale/control/tests/control.feature
@@ -33,6 +33,7 @@
       | 4 | the primary leaves                          |
       | 3 | the primary and the control leader stop     |
       | 3 | the primary stops twice                     |
+      | 3 | the failover fails and the primary stops    |
 
   Scenario: A restart of all control hosts changes no term
     Given a system of 3 control hosts, 3 entry hosts and 3 endpoints
--- a/chivescale/control/tests/steps/control_steps.py
+++ b/chivescale/control/tests/steps/control_steps.py
@@ -161,6 +161,19 @@
     run(context, system.stop_endpoint(context.before.primary))
 
 
+@when("the failover fails and the primary stops")
+def failover_fails(context):
+    system = context.system
+    leader = run(context, system.until(lambda: system.leader)).leadership
+
+    def step(event, now):
+        raise AssertionError("injected")
+
+    leader.failovers["ledger"].step = step
+    run(context, system.stop_endpoint(context.before.primary))
+    run(context, system.until(lambda: leader.counts["failover_errors"]))
+
+
 @then("every entry host learns a new primary")
 def learns_new_primary(context):
     before = context.before
--- a/chivescale/failover/_failover.py
+++ b/chivescale/failover/_failover.py
@@ -60,15 +60,22 @@
         Source of jitter.
     now : float
         Start of this leadership, monotonic seconds.
+    group : Group, optional
+        What is known already, after an earlier instance failed.
     """
 
     def __init__(
-        self, service: str, timing: Timing, rng: random.Random, now: float
+        self,
+        service: str,
+        timing: Timing,
+        rng: random.Random,
+        now: float,
+        group: Group | None = None,
     ):
         self.service = service
         self.timing = timing
         self.rng = rng
-        self.group = Group(service, now)
+        self.group = group or Group(service, now)
         self.active = True
         self.attempt: Attempt | None = None
         self.last_term = 0
--- a/chivescale/membership/_endpoints.py
+++ b/chivescale/membership/_endpoints.py
@@ -128,11 +128,10 @@
     def _batch(self, now: float) -> list[ProposeBatch]:
         if now < self.next_batch_at:
             return []
-        commands = self._changes(now)[:MAX_BATCH]
-        if not commands:
-            return []
+        # Also without a change: a scan of all records is not free.
         self.next_batch_at = now + BATCH_S
-        return [ProposeBatch(tuple(commands))]
+        commands = self._changes(now)[:MAX_BATCH]
+        return [ProposeBatch(tuple(commands))] if commands else []
 
     def _changes(self, now: float) -> list[msgspec.Struct]:
         for key, until in list(self.retired.items()):
