--- a/chivescale/failover/_attempt.py
+++ b/chivescale/failover/_attempt.py
@@ -1,5 +1,7 @@
 """One attempt to establish a term."""
 
+import collections
+
 from chivescale.failover import _events as ev
 from chivescale.failover._group import Group, Timing
 from chivescale.failover._plan import (
@@ -34,6 +36,10 @@
 RESEND_S = 0.05
 
 CHECK_TIMEOUT_S = 0.6
+
+# The loss of one message must not confirm the verdict of a single watcher.
+CHECK_ASKS = 2
+
 POSITION_WAIT_MS = 200
 
 
@@ -67,11 +73,12 @@
         self.outcome = ""
         self.failed_endpoint = ""
         self.deadline = now + CHECK_TIMEOUT_S
-        self.decided_at = now
         self.entered = {CHECKING: now}
         self.next_send: dict[str, float] = {}
         self.answered: dict[str, EndpointStatus] = {}
         self.failed: set[str] = set()
+        self.asks: collections.Counter[str] = collections.Counter()
+        self.failures: collections.Counter[str] = collections.Counter()
         self.quorum_at: float | None = None
         self.candidate = ""
         self.marker: Position | None = None
@@ -79,33 +86,27 @@
 
     def step(self, event: object, now: float) -> list[object]:
         """Apply one event; the caller checks `outcome` afterwards."""
-        if isinstance(event, ev.Committed):
-            return self._committed(event, now)
-        if isinstance(event, ev.ProposalFailed):
-            return self._proposal_failed(event)
-        if isinstance(event, ev.PositionAnswered):
-            return self._position(event, now)
-        if isinstance(event, ev.PromiseAnswered):
-            return self._promise(event, now)
-        if isinstance(event, ev.PromoteAnswered):
-            return self._promote(event, now)
-        if isinstance(event, ev.RequestFailed):
-            return self._request_failed(event, now)
-        return self.advance(now)
+        handle = {
+            ev.Committed: self._committed,
+            ev.ProposalFailed: self._proposal_failed,
+            ev.PositionAnswered: self._position,
+            ev.PromiseAnswered: self._promise,
+            ev.PromoteAnswered: self._promote,
+            ev.RequestFailed: self._request_failed,
+        }.get(type(event))
+        return handle(event, now) if handle else self.advance(now)
 
     def advance(self, now: float) -> list[object]:
         """Send what is due and enter the next phase if possible."""
         if now >= self.deadline:
             return self._fail(f"{self.phase}_timeout")
-        if self.phase == CHECKING:
-            return self._check(now)
-        if self.phase == PROMISING:
-            return self._collect_promises(now)
-        if self.phase == PROMOTING:
-            return self._send_promote(now)
-        if self.phase == ESTABLISHING:
-            return self._collect_held(now)
-        return []
+        work = {
+            CHECKING: self._check,
+            PROMISING: self._collect_promises,
+            PROMOTING: self._send_promote,
+            ESTABLISHING: self._collect_held,
+        }.get(self.phase)
+        return work(now) if work else []
 
     def _enter(self, phase: str, now: float) -> None:
         self.phase = phase
@@ -132,18 +133,9 @@
             if name in self.answered or name in self.failed:
                 continue
             # A suspect that still answers may be needed for the quorum.
-            suspect = name == self.plan.suspect
-            if self._due(name, now, CHECK_TIMEOUT_S):
-                timeout_s = self.timing.silence_floor_s
-                effects.append(
-                    ev.AskPosition(
-                        name,
-                        self.group.address(name),
-                        0,
-                        timeout_s,
-                        fresh=suspect,
-                    )
-                )
+            if self.asks[name] < CHECK_ASKS and self._due(name, now, RESEND_S):
+                self.asks[name] += 1
+                effects.append(self._ask(name, name == self.plan.suspect))
         if not self.plan.promised_enough(self.answered) or not self._waited(
             self.answered, now
         ):
@@ -156,6 +148,11 @@
                 return self._fail("not_confirmed")
         return effects + self._begin(now)
 
+    def _ask(self, name: str, fresh: bool) -> ev.AskPosition:
+        address = self.group.address(name)
+        timeout_s = self.timing.silence_floor_s
+        return ev.AskPosition(name, address, 0, timeout_s, fresh=fresh)
+
     def _waited(self, found: dict[str, EndpointStatus], now: float) -> bool:
         """Tell whether all have answered or had the time to."""
         if self.quorum_at is None:
@@ -199,7 +196,9 @@
         self.deadline = now + self.timeout_s
         return [self._log(PROMISING)] + self._collect_promises(now)
 
-    def _proposal_failed(self, event: ev.ProposalFailed) -> list[object]:
+    def _proposal_failed(
+        self, event: ev.ProposalFailed, now: float
+    ) -> list[object]:
         if event.command.term != self.term:
             return []
         if isinstance(event.command, BeginTerm):
@@ -367,7 +366,6 @@
             if status.promised_term > self.term:
                 return self._fail("higher_term_promised")
             self._hold(status)
-            self.next_send.setdefault(event.endpoint, now)
             if event.endpoint not in self.held:
                 self.next_send[event.endpoint] = now + RESEND_S / 2
         return self.advance(now)
@@ -378,7 +376,9 @@
         if self.phase == CHECKING:
             asked_here = event.asked_at >= self.entered[CHECKING]
             if event.request == "position" and asked_here:
-                self.failed.add(event.endpoint)
+                self.failures[event.endpoint] += 1
+                if self.failures[event.endpoint] >= CHECK_ASKS:
+                    self.failed.add(event.endpoint)
             return self.advance(now)
         if event.term != self.term or not self.term:
             return []
--- a/chivescale/failover/_failover.py
+++ b/chivescale/failover/_failover.py
@@ -183,7 +183,7 @@
         fields: dict[str, object] = {
             "term": attempt.term,
             "reason": plan.reason,
-            **durations(attempt.entered, plan.since, attempt.decided_at),
+            **durations(attempt.entered, plan.since),
         }
         if attempt.outcome == "established":
             self.failures = 0
--- a/chivescale/failover/_plan.py
+++ b/chivescale/failover/_plan.py
@@ -124,9 +124,7 @@
 
 
 def durations(
-    entered: collections.abc.Mapping[str, float],
-    since: float,
-    decided_at: float,
+    entered: collections.abc.Mapping[str, float], since: float
 ) -> dict[str, object]:
     """Return the time spent in each phase, in milliseconds.
 
@@ -134,11 +132,11 @@
     ----------
     entered : dict of float
         When each phase began, in order.
-    since, decided_at : float
-        When the cause was first seen and when the attempt began.
+    since : float
+        When the cause was first seen; detection ends with the first phase.
     """
-    fields: dict[str, object] = {"detection_ms": _ms(decided_at - since)}
     times = list(entered.items())
+    fields: dict[str, object] = {"detection_ms": _ms(times[0][1] - since)}
     for (phase, at), (_, until) in zip(times, times[1:], strict=False):
         fields[_DURATIONS[phase]] = _ms(until - at)
     fields["total_ms"] = _ms(times[-1][1] - since)
