Repeat unanswered requests of an attempt over another connection

A connection of the leader that is silent for good delayed an attempt by the promise timeout (300 ms); now by 100 ms. The driver makes connections of the leaders silent too.

--- a/chivescale/failover/_attempt.py
+++ b/chivescale/failover/_attempt.py
@@ -6,10 +6,13 @@
 from chivescale.failover._group import Group, Timing
 from chivescale.failover._plan import (
     BEGINNING,
+    CHECK_ASKS,
     CHECKING,
     ESTABLISHING,
     PROMISING,
     PROMOTING,
+    RESEND_S,
+    UNANSWERED_S,
     Plan,
     count_voters,
     is_found,
@@ -32,15 +35,9 @@
 # trip between zones and stays small against the failover gap.
 GRACE_S = 0.03
 
-# A failed request is repeated after this time.
-RESEND_S = 0.05
-
 CHECK_TIMEOUT_S = 0.6
 
-# The loss of one message must not confirm the verdict of a single watcher.
-CHECK_ASKS = 2
-
-POSITION_WAIT_MS = 200
+POSITION_WAIT_MS = 100
 
 
 class Attempt:
@@ -213,7 +210,7 @@
         effects: list[object] = []
         for name in self.plan.members:
             if name not in self.answered and self._due(
-                name, now, self.timing.promise_timeout_s
+                name, now, UNANSWERED_S
             ):
                 effects.append(
                     ev.SendPromise(
@@ -276,7 +273,7 @@
         return [self._log(PROMOTING)] + self._send_promote(now)
 
     def _send_promote(self, now: float) -> list[object]:
-        if not self._due(self.candidate, now, self.timing.promise_timeout_s):
+        if not self._due(self.candidate, now, UNANSWERED_S):
             return []
         return [
             ev.SendPromote(
@@ -327,9 +324,10 @@
                 return [ev.Propose(self._establish())]
             return []
         effects: list[object] = []
+        ask_again_s = POSITION_WAIT_MS / 1000 + UNANSWERED_S
         wait_s = POSITION_WAIT_MS / 1000 + self.timing.promise_timeout_s
         for name in self.plan.members:
-            if name not in self.held and self._due(name, now, wait_s):
+            if name not in self.held and self._due(name, now, ask_again_s):
                 effects.append(
                     ev.AskPosition(
                         name,
--- a/chivescale/failover/_plan.py
+++ b/chivescale/failover/_plan.py
@@ -14,6 +14,15 @@
 PROMOTING = "promoting"
 ESTABLISHING = "establishing"
 
+# A failed request is repeated after this time, and one without an answer
+# after the second. All requests are safe to repeat, and the connection that
+# the first one used may be silent for good.
+RESEND_S = 0.05
+UNANSWERED_S = 0.1
+
+# The loss of one message must not confirm the verdict of a single watcher.
+CHECK_ASKS = 2
+
 Statuses = collections.abc.Mapping[str, EndpointStatus]
 
 _DURATIONS = {
--- a/chivescale/failover/tests/failover_driver.py
+++ b/chivescale/failover/tests/failover_driver.py
@@ -238,6 +238,9 @@
 
         self.after(timeout_s, lambda: end(failed, False))
         silent = not fresh and (origin, name) in self.stuck
+        if origin not in HOSTS:
+            # The next call does not get the connection that this one holds.
+            self.stuck.discard((origin, name))
         if not silent and not self.lost(origin, name):
             self.after(self.delay(), arrive)
 
@@ -421,7 +424,7 @@
         self.cut.clear()
 
     def do_stick(self, endpoint) -> None:
-        for host in HOSTS:
+        for host in (*HOSTS, "l1", "l2"):
             self.stuck.add((host, endpoint.name))
 
     def do_second_leader(self, endpoint) -> None:
