--- a/chivescale/failover/tests/failover.feature
+++ b/chivescale/failover/tests/failover.feature
@@ -69,6 +69,11 @@
     When the only watcher alive is cut from the primary
     Then no other term is established in 5000 ms
 
+  Scenario: A new leader that has heard of nobody begins no term
+    Given a running group with a spare endpoint
+    When the control leader changes five times
+    Then no other term is begun in 15000 ms
+
   Scenario: A group without a quorum reserves no terms
     Given a running group without spare
     When two of three voters are killed
--- a/chivescale/failover/tests/steps/failover_steps.py
+++ b/chivescale/failover/tests/steps/failover_steps.py
@@ -175,6 +175,14 @@
     context.add_cleanup(setattr, driver, "HOSTS", context.hosts)
 
 
+@when("the control leader changes five times")
+def leader_changes(context):
+    context.before = record_of(context.world)
+    for _ in range(5):
+        context.world.do_new_leader(None)
+        context.world.run(0.7)
+
+
 @when("two of three voters are killed")
 def two_killed(context):
     context.before = record_of(context.world)
--- a/chivescale/membership/_endpoints.py
+++ b/chivescale/membership/_endpoints.py
@@ -148,7 +148,10 @@
         wanted, applied = self.wanted.get(name), self.applied.get(name)
         if now - self.heard(name) > FORGET_AFTER_S:
             self.wanted.pop(name, None)
-            if applied is None or name in self.voters:
+            if applied is None:
+                self.heard_at.pop(name, None)
+                return None
+            if name in self.voters:
                 return None
             return RemoveEndpoint(name, applied.incarnation)
         if wanted is None or wanted == applied:
--- a/chivescale/membership/_hosts.py
+++ b/chivescale/membership/_hosts.py
@@ -111,9 +111,11 @@
 
     def _changes(self, now: float) -> list[msgspec.Struct]:
         commands: list[msgspec.Struct] = []
-        for host, live in self.live.items():
+        for host, live in list(self.live.items()):
             if self.alive(host, now):
                 commands += self._register(live.record, now)
+            elif host not in self.applied:
+                del self.live[host]
         for host, record in self.applied.items():
             if not self.alive(host, now) and self._due(host, None, now):
                 commands.append(RemoveHost(host, record.incarnation))
