--- a/chivescale/membership/_endpoints.py
+++ b/chivescale/membership/_endpoints.py
@@ -128,11 +128,10 @@
     def _batch(self, now: float) -> list[ProposeBatch]:
         if now < self.next_batch_at:
             return []
-        commands = self._changes(now)[:MAX_BATCH]
-        if not commands:
-            return []
+        # Also without a change: a scan of all records is not free.
         self.next_batch_at = now + BATCH_S
-        return [ProposeBatch(tuple(commands))]
+        commands = self._changes(now)[:MAX_BATCH]
+        return [ProposeBatch(tuple(commands))] if commands else []
 
     def _changes(self, now: float) -> list[msgspec.Struct]:
         for key, until in list(self.retired.items()):
@@ -149,7 +148,10 @@
         wanted, applied = self.wanted.get(name), self.applied.get(name)
         if now - self.heard(name) > FORGET_AFTER_S:
             self.wanted.pop(name, None)
-            if applied is None or name in self.voters:
+            if applied is None:
+                self.heard_at.pop(name, None)
+                return None
+            if name in self.voters:
                 return None
             return RemoveEndpoint(name, applied.incarnation)
         if wanted is None or wanted == applied:
--- a/chivescale/membership/_hosts.py
+++ b/chivescale/membership/_hosts.py
@@ -104,17 +104,18 @@
     def _batch(self, now: float) -> list[ProposeBatch]:
         if now < self.next_batch_at:
             return []
-        commands = self._changes(now)[:MAX_BATCH]
-        if not commands:
-            return []
+        # Also without a change: a scan of all records is not free.
         self.next_batch_at = now + BATCH_S
-        return [ProposeBatch(tuple(commands))]
+        commands = self._changes(now)[:MAX_BATCH]
+        return [ProposeBatch(tuple(commands))] if commands else []
 
     def _changes(self, now: float) -> list[msgspec.Struct]:
         commands: list[msgspec.Struct] = []
-        for host, live in self.live.items():
+        for host, live in list(self.live.items()):
             if self.alive(host, now):
                 commands += self._register(live.record, now)
+            elif host not in self.applied:
+                del self.live[host]
         for host, record in self.applied.items():
             if not self.alive(host, now) and self._due(host, None, now):
                 commands.append(RemoveHost(host, record.incarnation))
