Serve no diverged data between two attempts of a rebuild

New scenarios cover a write that waited for a lock and a rebuild that goes on after a promise; removing the checks behind them makes them fail.

--- a/chivescale_standin/_replica.py
+++ b/chivescale_standin/_replica.py
@@ -199,7 +199,8 @@
 
         Applied statements cannot be undone, so the shared part of the log
         runs again in another file. Until the swap the old log stands for
-        promises, and no statement is served.
+        promises. No statement is served until the swap or a change of role,
+        also when an attempt fails and another one follows.
         """
         group, store = self.group, self.group.store
         shared = common_prefix(
@@ -220,11 +221,10 @@
             if await self._copy(following, fresh, shared):
                 fresh.set_incarnation(group.file.role.incarnation)
                 store.replace_with(fresh)
+                group.rebuilding = False
                 log_event("rebuild_done", position=store.last.position)
         finally:
             fresh.close()
-            if self._current() == following:
-                group.rebuilding = False
             group.notify()
 
     async def _copy(self, following, fresh: Store, shared: int) -> bool:
--- a/chivescale_standin/tests/replication.feature
+++ b/chivescale_standin/tests/replication.feature
@@ -60,6 +60,12 @@
     Then its statements and its COMMIT fail and its rows are gone
     And after a promotion in term 2 a new transaction can commit
 
+  Scenario: A write that waited for a lock is refused after the promise
+    Given a group of 1 endpoint
+    And e0 is primary in term 1 with a table
+    When a write waits for a transaction on e0 and e0 promises term 2
+    Then a write to e0 that was waiting is refused
+
   Scenario: A frozen primary that resumes after the promise writes nothing
     Given a group of 3 endpoints with primary e0 in term 1
     When e0 freezes, e1 becomes primary in term 2 and e0 resumes
@@ -80,8 +86,9 @@
     Given a group of 2 endpoints with primary e0 in term 1
     And 3 rows are written to e0 after a cut
     When e1 becomes primary in term 2 without e0
-    And e0 starts a rebuild that cannot end
+    And e0 starts a rebuild whose second fetch waits
     Then reads on e0 are refused and its old log can be promoted in term 3
+    And the rebuild that goes on then changes nothing
 
   Scenario: A restarted primary is fenced
     Given a group of 2 endpoints with primary e0 in term 1
--- a/chivescale_standin/tests/steps/group_steps.py
+++ b/chivescale_standin/tests/steps/group_steps.py
@@ -168,6 +168,21 @@
     assert len(context.group.rows(0)) == 1
 
 
+@when("a write waits for a transaction on e0 and e0 promises term 2")
+def promise_while_waiting(context):
+    group = context.group
+    holder = group.driver(0)
+    holder.begin()
+    holder.cursor().execute("INSERT INTO t (v) VALUES ('held')")
+    with concurrent.futures.ThreadPoolExecutor() as executor:
+        write = executor.submit(group.sql, 0, "INSERT INTO t (v) VALUES ('w')")
+        time.sleep(0.2)
+        assert group.promise(0, 2).granted
+    context.outcome = write.result()
+    holder.close()
+    assert group.rows(0) == []
+
+
 @when("e0 freezes, e1 becomes primary in term 2 and e0 resumes")
 def zombie(context):
     group = context.group
@@ -214,18 +229,20 @@
     assert group.rows(0) == rows
 
 
-@when("e0 starts a rebuild that cannot end")
-def endless_rebuild(context):
+@when("e0 starts a rebuild whose second fetch waits")
+def held_rebuild(context):
     group = context.group
     context.before = group.status(0).last
     original = group.endpoints[0].puller._ask
     asked = []
+    context.go_on = asyncio.Event()
 
     async def ask(following, held, wait_ms):
         asked.append(held)
+        reply = await original(following, held, wait_ms)
         if len(asked) > 1:
-            await asyncio.Event().wait()
-        return await original(following, held, wait_ms)
+            await context.go_on.wait()
+        return reply
 
     group.endpoints[0].puller._ask = ask
     cut_ends(context)
@@ -246,6 +263,15 @@
     assert len(group.rows(0)) == 3
 
 
+@then("the rebuild that goes on then changes nothing")
+def rebuild_goes_on(context):
+    group = context.group
+    group.thread.loop.call_soon_threadsafe(context.go_on.set)
+    time.sleep(0.3)
+    assert group.status(0).last.term == 3
+    assert len(group.rows(0)) == 3
+
+
 @when("e{number:d} restarts")
 def restarts(context, number):
     context.group.restart(number)
