--- a/chivescale/agreement/__init__.py
+++ b/chivescale/agreement/__init__.py
@@ -1,5 +1,6 @@
 """Replicated log of the control hosts."""
 
+from chivescale.agreement._callbacks import Callbacks
 from chivescale.agreement._durable import DurableLog
 from chivescale.agreement._events import (
     Appended,
@@ -24,13 +25,14 @@
     TakeSnapshot,
     Tick,
     Timing,
+    Undelivered,
 )
 from chivescale.agreement._folder import (
     FolderReport,
     check_folder,
     read_folder,
 )
-from chivescale.agreement._host import AgreementHost, Callbacks, Outcome
+from chivescale.agreement._host import AgreementHost
 from chivescale.agreement._machine import Agreement
 from chivescale.agreement._messages import (
     AgreementMessage,
@@ -45,6 +47,7 @@
     VoteReply,
     VoteRequest,
 )
+from chivescale.agreement._waiters import Outcome
 
 __all__ = [
     "Agreement",
@@ -84,6 +87,7 @@
     "TakeSnapshot",
     "Tick",
     "Timing",
+    "Undelivered",
     "VoteReply",
     "VoteRequest",
     "check_folder",
