--- a/benchmarks/capacity/__main__.py
+++ b/benchmarks/capacity/__main__.py
@@ -11,7 +11,15 @@
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 RESULTS = FOLDER / "results"
-GROUPS = ("control", "state", "agreement", "transport", "entry", "watch")
+GROUPS = (
+    "control",
+    "state",
+    "agreement",
+    "transport",
+    "entry",
+    "watch",
+    "statements",
+)
 
 
 def _measure(options) -> int:
--- a/benchmarks/capacity/_control.py
+++ b/benchmarks/capacity/_control.py
@@ -1,6 +1,7 @@
 """Processor time of the control leader per message and per change."""
 
 import asyncio
+import functools
 import time
 
 import msgspec
@@ -201,7 +202,7 @@
             f"{records.service(1)}-1",
             "silent",
         )
-        runs = cpu_us(lambda: leader.suspect(message))
+        runs = cpu_us(functools.partial(leader.suspect, message))
         yield point("control.suspicion", "hosts", count, "us", runs)
 
 
@@ -212,13 +213,13 @@
         record = msgspec.structs.replace(records.endpoint(5), leaving=True)
         state.apply(state.index + 1, RegisterEndpoint(record))
         after = state.index - 1
-        runs = cpu_us(lambda: encode(state.changes_since(after, True)))
+        runs = cpu_us(_reply_after(state, after))
         yield point("control.watch_delta", "endpoints", count, "us", runs)
         size = len(encode(state.changes_since(after, True)))
         yield point(
             "control.watch_delta_bytes", "endpoints", count, "B", [size]
         )
-        runs = cpu_us(lambda: encode(state.changes_since(0, True)), 3)
+        runs = cpu_us(_reply_after(state, 0), 3)
         yield point("control.watch_full", "endpoints", count, "us", runs)
         size = len(encode(state.changes_since(0, True)))
         yield point(
@@ -226,6 +227,10 @@
         )
 
 
+def _reply_after(state, after: int):
+    return lambda: encode(state.changes_since(after, True))
+
+
 def changes():
     """Measure applying one change on the leader, duties included."""
     for count in ENDPOINTS[:4]:
--- a/benchmarks/capacity/_transport.py
+++ b/benchmarks/capacity/_transport.py
@@ -6,8 +6,8 @@
 
 import msgspec
 
-from benchmarks.capacity._clock import point
 from benchmarks.capacity import _records as records
+from benchmarks.capacity._clock import point
 from chivescale.messages import EndpointStatus
 from chivescale.transport import Client, Route, Server
 
