--- a/benchmarks/capacity/_records.py
+++ b/benchmarks/capacity/_records.py
@@ -86,6 +86,21 @@
     )
 
 
+def established_record(number: int, group: int = 3) -> ServiceRecord:
+    """Return the record of a service with an established term."""
+    term = established(number, group)
+    return ServiceRecord(
+        term.service,
+        group,
+        term.term,
+        term.term,
+        term.primary,
+        term.voters,
+        term.incarnations,
+        term.marker,
+    )
+
+
 def workspace(number: int, bindings: int = 3) -> WorkspaceRecord:
     """Return a workspace bound to some services."""
     return WorkspaceRecord(
--- a/benchmarks/capacity/_statements.py
+++ b/benchmarks/capacity/_statements.py
@@ -1,9 +1,8 @@
 """Cost of statements and connections on one real entry host process."""
 
 import asyncio
-import json
+import random
 import re
-import subprocess
 import time
 import urllib.request
 
@@ -12,19 +11,23 @@
 from benchmarks.capacity._clock import point
 from chivescale import mysql
 from chivescale.errors import is_failure
-from tools.processes import ROOT, python_command
 from tools.system import Plan, System
 
-SECONDS = 3.0
-SESSIONS = (2, 4, 8, 16)
+# Points are rates over the same time, since probes and heartbeats cost
+# processor time without statements.
+SECONDS = 4.0
+RATES = (25, 50, 75, 100, 150)
+CONNECTIONS = 16
 CALLERS = (100, 200, 400, 800)
 POOLED = (50, 100, 200, 400)
 KINDS = {
-    "browse": ("--browses", "1"),
-    "own_read": ("--own-reads", "1"),
-    "write": ("--writes", "1"),
+    "stale_read": (
+        "/* chivescale staleness_ms=1000 */ SELECT MAX(number) FROM capacity"
+    ),
+    "current_read": "SELECT MAX(number) FROM capacity",
+    "write": "INSERT INTO capacity (number) VALUES (1)",
 }
-WEIGHTS = ("--writes", "--own-reads", "--browses", "--transactions")
+TABLE = "CREATE TABLE capacity (number INT NOT NULL)"
 PLAN = Plan(
     entry=1,
     control=3,
@@ -47,9 +50,10 @@
         yield point(
             "control.idle_memory", "hosts", 1, "B", [leader.memory_info().rss]
         )
+        asyncio.run(_create(system))
         for kind in KINDS:
-            for sessions in SESSIONS:
-                yield from _load(system, entry, kind, sessions)
+            for rate in RATES:
+                yield from asyncio.run(_load(system, entry, kind, rate))
         yield from asyncio.run(_connections(system, entry))
 
 
@@ -70,46 +74,68 @@
     return found
 
 
-def _load(system, entry, kind: str, sessions: int):
-    """Run one kind of operation with so many sessions."""
-    secret = system.workspace_secrets["mill-1"]
-    weights = [word for name in WEIGHTS for word in (name, "0")]
-    command = python_command(
-        "chivescale_standin.load",
-        "--address",
+async def _create(system) -> None:
+    connection = await mysql.connect(
         system.by_name["entry-1"].addresses["mysql"],
-        "--service",
-        "ledger",
-        "--user",
         "mill-1",
-        "--secret",
-        secret,
-        "--sessions",
-        str(sessions),
-        "--seconds",
-        str(SECONDS),
-        "--table",
-        f"load_{kind}_{sessions}",
-        *weights,
-        *KINDS[kind],
+        system.workspace_secrets["mill-1"],
+        "ledger",
+        time.monotonic() + 5,
     )
+    assert not is_failure(connection), connection
+    for sql in (TABLE, KINDS["write"]):
+        answer = await connection.query(sql, time.monotonic() + 5)
+        assert not is_failure(answer), answer
+    connection.close()
+
+
+async def _load(system, entry, kind: str, rate: int):
+    """Run one kind of statement at a steady rate."""
+    address = system.by_name["entry-1"].addresses["mysql"]
+    secret = system.workspace_secrets["mill-1"]
+    done = 0
+
+    async def run(connection, until: float, pause_s: float):
+        nonlocal done
+        due = time.monotonic() + pause_s * random.random()
+        while due < until:
+            await asyncio.sleep(max(0.0, due - time.monotonic()))
+            answer = await connection.query(KINDS[kind], time.monotonic() + 5)
+            assert not is_failure(answer), answer
+            done += 1
+            due += pause_s
+
+    connections = []
+    for _ in range(CONNECTIONS):
+        found = await mysql.connect(
+            address, "mill-1", secret, "ledger", time.monotonic() + 5
+        )
+        assert not is_failure(found), found
+        connections.append(found)
+    await asyncio.sleep(0.3)
     used, counted = _cpu_s(entry), _counters(system)
-    done = subprocess.run(
-        command, check=False, cwd=ROOT, capture_output=True, text=True
-    )
+    started = time.monotonic()
+    pause_s = CONNECTIONS / rate
+    until = started + SECONDS
+    await asyncio.gather(*(run(c, until, pause_s) for c in connections))
     used = _cpu_s(entry) - used
-    after = _counters(system)
-    assert done.returncode == 0, done.stderr + done.stdout
-    report = json.loads(done.stdout.splitlines()[-1])
-    operations = sum(report["operations"].values())
-    seconds = report["seconds"]
-    name = f"statements.{kind}"
+    after, seconds = _counters(system), time.monotonic() - started
+    for each in connections:
+        each.close()
+    reached = round(done / seconds, 2)
     rows = {"cpu": (used * 1e6, "us")}
     for key, unit in (("bytes", "B"), ("messages", "messages")):
         rows[key] = (after[key] - counted[key], unit)
-    rows["rate"] = (operations / seconds, "1/s")
-    for key, (value, unit) in rows.items():
-        yield point(f"{name}_{key}", "operations", operations, unit, [value])
+    return [
+        point(
+            f"statements.{kind}_{key}",
+            "statements/s",
+            reached,
+            f"{unit}/s",
+            [value / seconds],
+        )
+        for key, (value, unit) in rows.items()
+    ]
 
 
 async def _connections(system, entry):
