Keep the connection budgets until endpoints change

Cause: the control leader built a dictionary of all endpoints for each heartbeat (found by the slopes of the capacity benchmarks). Change: it is built when endpoints change.

--- a/chivescale/control/_leadership.py
+++ b/chivescale/control/_leadership.py
@@ -84,6 +84,7 @@
         self.verdicts = fo.Verdicts()
         self.leases = LeaseBook(LEASE_S, started_at=now)
         self.failovers: dict[str, fo.Failover] = {}
+        self.budgets: dict[str, int] = {}
         self.watchers: dict[str, tuple[str, ...]] = {}
         self.idle: collections.deque[str] = collections.deque()
         self.idle_credit = 0.0
@@ -165,6 +166,10 @@
             event = membership.HostsApplied(tuple(state.hosts.values()))
             self._execute_batches(self.hosts.step(event, now))
         if endpoints:
+            self.budgets = {
+                record.endpoint: record.connection_limit
+                for record in state.endpoints.values()
+            }
             event = membership.EndpointsApplied(
                 tuple(state.endpoints.values()),
                 tuple(state.services.values()),
@@ -201,15 +206,11 @@
         now = time.monotonic()
         event = membership.HostHeartbeat(heartbeat)
         self._execute_batches(self.hosts.step(event, now))
-        budgets = {
-            record.endpoint: record.connection_limit
-            for record in self.state.endpoints.values()
-        }
         return self.leases.heartbeat(
             heartbeat.record.host,
             heartbeat.held,
             heartbeat.wanted,
-            budgets,
+            self.budgets,
             now,
         )
 
