Rely on a replica again once it answers, even late

Cause: a replica whose answer came after its round had ended stayed in the list of slow ones. The primary then took part in every barrier, whose position is ahead of the replicas by the replication lag, so reads would wait or go to the primary. With three voters one pause of a replica was enough.

Change: any valid answer ends the suspicion, and only a round that lasted primary_after_s raises it. 'The primary is asked at once after a replica missed a round' let the primary answer before it was asked; it now answers after 21 ms, and still requires that the next round asks the primary at once.

--- a/chivescale/session/_barriers.py
+++ b/chivescale/session/_barriers.py
@@ -130,12 +130,17 @@
 
     def _answer(self, event: StatusReceived) -> None:
         round_ = self.rounds.get(event.round)
+        counts = self._counts(event.endpoint, event.status)
+        if counts:
+            # Also with a late answer: otherwise a replica that answers just
+            # after the primary would count as slow for good, and barriers
+            # with the primary are ahead of the replicas.
+            self.slow.discard(event.endpoint)
         if round_ is None:
             return
-        if not self._counts(event.endpoint, event.status):
+        if not counts:
             round_.failed.add(event.endpoint)
             return
-        self.slow.discard(event.endpoint)
         round_.failed.discard(event.endpoint)
         round_.answers[event.endpoint] = event.status
 
@@ -238,7 +243,8 @@
             and answers[name].promised_term >= promised
         )
         reads = tuple(sorted(round_.reads))
-        self.slow |= round_.asked - set(answers) - {self.term.primary}
+        if now >= round_.sent_at + self.primary_after_s:
+            self.slow |= round_.asked - set(answers) - {self.term.primary}
         self._finish(reads)
         effects.append(
             BarrierReady(reads, round_.sent_at, promised, position, holders)
--- a/chivescale/session/tests/barriers.feature
+++ b/chivescale/session/tests/barriers.feature
@@ -39,11 +39,20 @@
 
   Scenario: The primary is asked at once after a replica missed a round
     Given voters a, b, c with primary a in term 2
-    When read 1 joins and the answers b:2:2.5 a:2:2.5 arrive
+    When read 1 joins and the answers b:2:2.5 arrive
     And 0.021 s pass
-    And read 1 joins and the answers a:2:2.5 arrive
+    And the first round gets the answers a:2:2.5
+    And read 2 joins and the answers a:2:2.5 arrive
     Then the endpoints asked are a, b, c
 
+  Scenario: A replica that answers late is relied on again
+    Given voters a, b, c with primary a in term 2
+    When read 1 joins and the answers b:2:2.5 arrive
+    And 0.021 s pass
+    And the first round gets the answers a:2:2.5 c:2:2.5
+    And read 2 joins and the answers b:2:2.5 arrive
+    Then the endpoints asked are b, c
+
   Scenario: A second round starts on fresh connections when the first hangs
     Given voters a, b, c with primary a in term 2
     When read 1 joins and the answers b:2:2.5 arrive
