--- a/chivescale/state/tests/steps/state_steps.py
+++ b/chivescale/state/tests/steps/state_steps.py
@@ -7,6 +7,7 @@
 from chivescale.errors import is_failure
 from chivescale.messages import (
     AcceptSheet,
+    Batch,
     BeginTerm,
     DrainHost,
     EndpointRecord,
@@ -132,15 +133,13 @@
     incarnations = st.sampled_from(("i1", "i2"))
     terms = st.integers(1, 5)
     groups = st.frozensets(names).map(sorted).map(tuple)
-    return st.one_of(
-        st.builds(_sheet, st.integers(1, 6), names, groups, groups),
+    membership = st.one_of(
         st.builds(
             lambda n, i: RegisterHost(HostRecord(n, "z", "a", "m", i)),
             names,
             incarnations,
         ),
         st.builds(RemoveHost, names, incarnations),
-        st.builds(DrainHost, names),
         st.builds(
             lambda n, s, i: RegisterEndpoint(_endpoint(n, s, i)),
             names,
@@ -149,6 +148,12 @@
         ),
         st.builds(LeaveEndpoint, names, incarnations),
         st.builds(RemoveEndpoint, names, incarnations),
+    )
+    return st.one_of(
+        st.builds(_sheet, st.integers(1, 6), names, groups, groups),
+        membership,
+        st.lists(membership, max_size=4).map(tuple).map(Batch),
+        st.builds(DrainHost, names),
         st.builds(BeginTerm, names, terms),
         st.builds(
             EstablishTerm,
