--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks; ``python -m benchmarks [NAME ...]`` runs them."""
--- a/chivescale_standin/load/__init__.py
+++ b/chivescale_standin/load/__init__.py
@@ -1,5 +1,6 @@
 """Load tool: records every outcome and checks it against the data."""
 
+from chivescale_standin.load._link import Link, StatementError
 from chivescale_standin.load._plan import (
     Latency,
     LoadPlan,
@@ -10,9 +11,11 @@
 
 __all__ = [
     "Latency",
+    "Link",
     "LoadPlan",
     "LoadReport",
     "Record",
+    "StatementError",
     "check_rows",
     "run_load",
     "summarize",
