Abandon a replica's request when its primary is replaced

Cause: a replica of the stand-in kept waiting for its request to the cut-off primary before it asked the new one, so the marker of the new term reached a quorum only after up to the poll timeout of 0.5 s. Ruled out: agreement, promise and promotion, which took 8 to 81 ms each. Change: a change of role cancels the request. The scenario fails without the change.

--- a/benchmarks/callers.py
+++ b/benchmarks/callers.py
@@ -198,24 +198,22 @@
     link.close()
 
 
-async def run_callers(plan: CallerPlan) -> None:
-    """Run all callers of a plan."""
+async def run_callers(plan: CallerPlan, file) -> None:
+    """Run all callers of a plan; outcomes go to an unbuffered file."""
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stopped.set)
     end = time.monotonic() + (plan.seconds or 1e9)
-    # Unbuffered: the benchmark reads the file while callers write it.
-    with open(plan.path, "ab", buffering=0) as file:
-        callers = [Caller(plan, n, file) for n in range(plan.callers)]
-        work = asyncio.gather(*(caller.work(end) for caller in callers))
-        stop = asyncio.ensure_future(stopped.wait())
-        await asyncio.wait({work, stop}, return_when=asyncio.FIRST_COMPLETED)
-        stop.cancel()
-        if not work.done():
-            work.cancel()
-        await asyncio.gather(work, return_exceptions=True)
-        if not stopped.is_set():
-            work.result()
+    callers = [Caller(plan, n, file) for n in range(plan.callers)]
+    work = asyncio.gather(*(caller.work(end) for caller in callers))
+    stop = asyncio.ensure_future(stopped.wait())
+    await asyncio.wait({work, stop}, return_when=asyncio.FIRST_COMPLETED)
+    stop.cancel()
+    if not work.done():
+        work.cancel()
+    await asyncio.gather(work, return_exceptions=True)
+    if not stopped.is_set():
+        work.result()
 
 
 def start_callers(system, name: str, plan: CallerPlan) -> Process:
@@ -275,7 +273,9 @@
 def main() -> int:
     """Run the plan of the command line."""
     plan = msgspec.convert(json.loads(sys.argv[1]), CallerPlan)
-    asyncio.run(run_callers(plan))
+    # Unbuffered: the benchmark reads the file while callers write it.
+    with open(plan.path, "ab", buffering=0) as file:
+        asyncio.run(run_callers(plan, file))
     return 0
 
 
--- a/benchmarks/failover.py
+++ b/benchmarks/failover.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import datetime
 import pathlib
 import random
 import shutil
@@ -41,7 +42,9 @@
 # write, so that its return meets writers.
 HOLD_S = 0.5
 KINDS = ("killed", "frozen", "cut", "silent")
-PHASES = ("detection", "check", "agreement", "promise", "promote", "establish")
+PHASES = ("detection", "check", "agreement", "promotion", "first_write")
+# Durations in the log line of an established term.
+LOGGED = ("check", "agreement", "promise", "promote", "establish")
 # A silence floor this high is the baseline of a fixed timeout.
 FIXED_TIMEOUT_MS = 1000
 
@@ -116,7 +119,7 @@
         return found
 
     def _record_figures(self, kind: str, rows: list[dict], need: int) -> None:
-        for part in ("gap", "first_write", *PHASES):
+        for part in ("gap", *PHASES):
             values = [row[f"{part}_ms"] for row in rows]
             values = [value for value in values if value is not None]
             if not values:
@@ -143,6 +146,7 @@
         # Faults fall anywhere between two probes.
         time.sleep(self.rng.uniform(0.3, 0.6))
         system.require_alive(*(f"writers-{s}" for s in self.plan.services))
+        self._wait_for_writes(service)
         at = time.monotonic()
         self._inject(kind, primary)
         gap = self._await_gap(service, at, kind)
@@ -157,6 +161,16 @@
         self.recorder.row(series=self.name, **row)
         return row
 
+    def _wait_for_writes(self, service: str) -> None:
+        """Wait until writes are accepted at the usual rate."""
+
+        def steady() -> bool:
+            since = time.monotonic() - 0.5
+            ends = _accepted(self.files[service])
+            return sum(end >= since for end in ends) >= WRITERS
+
+        self.system.wait_until(steady, f"writes to {service}", 20.0)
+
     def _inject(self, kind: str, primary: str) -> None:
         match kind:
             case "killed":
@@ -201,18 +215,34 @@
         "failure": kind,
         "service": service,
         "gap_ms": round((gap[1] - gap[0]) * 1000, 3),
+        # Of the accepted write before the gap; negative for one that was
+        # on its way when the fault began.
         "before_fault_ms": round((at - gap[0]) * 1000, 3),
         "promotions": len(events),
+        "reason": "",
     }
-    first = events[0] if events else {}
-    for phase in PHASES:
-        value = first.get(f"{phase}_ms")
-        row[f"{phase}_ms"] = None if value is None else float(value)
-    row["reason"] = first.get("reason", "")
-    row["first_write_ms"] = None
-    if "total_ms" in first:
-        spent = sum(row[f"{phase}_ms"] or 0.0 for phase in PHASES)
-        # Detection counts from the first sign that the watchers saw, so
-        # this rest also holds the time from the last write to that sign.
-        row["first_write_ms"] = round(row["gap_ms"] - spent, 3)
+    row |= dict.fromkeys((f"{phase}_ms" for phase in PHASES), None)
+    if events:
+        row["reason"] = events[0]["reason"]
+        row |= _phases(gap, events[0])
     return row
+
+
+def _phases(gap, event: dict) -> dict[str, float]:
+    """Split a gap by the leader's log line.
+
+    The line gives the durations from the decision to the established term
+    and, by its time, where they lie between the two writes.
+    """
+    spent = {name: float(event[f"{name}_ms"]) for name in LOGGED}
+    written = datetime.datetime.fromisoformat(event["time"]).timestamp()
+    established = written - (time.time() - time.monotonic())
+    decided = established - sum(spent.values()) / 1000
+    phases = {
+        "detection": (decided - gap[0]) * 1000,
+        "check": spent["check"],
+        "agreement": spent["agreement"],
+        "promotion": spent["promise"] + spent["promote"] + spent["establish"],
+        "first_write": (gap[1] - established) * 1000,
+    }
+    return {f"{name}_ms": round(value, 3) for name, value in phases.items()}
--- a/benchmarks/plots.py
+++ b/benchmarks/plots.py
@@ -30,7 +30,9 @@
     """Draw one group of bars for each name, one bar for each series."""
     figure, axes = pyplot.subplots(figsize=SIZE_INCHES)
     names = list(values)
-    series = list(dict.fromkeys(key for bars in values.values() for key in bars))
+    series = list(
+        dict.fromkeys(key for bars in values.values() for key in bars)
+    )
     width = 0.8 / max(1, len(series))
     for number, key in enumerate(series):
         places = [n + number * width for n in range(len(names))]
--- a/benchmarks/stats.py
+++ b/benchmarks/stats.py
@@ -64,9 +64,7 @@
     return found
 
 
-def latest_at(
-    samples: list[tuple[float, object]], at: float
-) -> object | None:
+def latest_at(samples: list[tuple[float, object]], at: float) -> object | None:
     """Return the value of the last sample not after `at`.
 
     Parameters
--- a/benchmarks/systems.py
+++ b/benchmarks/systems.py
@@ -109,13 +109,12 @@
 
     Examples
     --------
-    >>> parse_event("I1204 x.py:1] event=failover_established term=4")
-    {'event': 'failover_established', 'term': '4'}
+    >>> parse_event("time=1 event=failover_established term=4")
+    {'time': '1', 'event': 'failover_established', 'term': '4'}
     """
-    _, found, rest = line.partition("event=")
-    if not found:
+    if "event=" not in line:
         return {}
-    pairs = (part.partition("=") for part in f"event={rest}".split())
+    pairs = (part.partition("=") for part in line.split())
     return {key: value for key, sep, value in pairs if sep}
 
 
@@ -142,4 +141,3 @@
         host.command = python_command(
             "benchmarks.baselines", mode, "--settings", path
         )
-
--- a/chivescale_standin/_replica.py
+++ b/chivescale_standin/_replica.py
@@ -82,7 +82,9 @@
             collections.deque()
         )
         self.following = None
+        self.fetching: asyncio.Task | None = None
         self.tasks: list[asyncio.Task] = []
+        group.on_fence.append(self._abandon)
 
     def start(self) -> None:
         """Start both tasks."""
@@ -123,11 +125,11 @@
         if self.faults.is_cut(following.primary):
             await asyncio.sleep(RETRY_S)
             return
-        reply = await self._fetch(following)
+        reply = await self._fetch_abandonable(following)
         await self.faults.gate()
         if self._current() != following:
             return
-        if is_failure(reply):
+        if reply is None or is_failure(reply):
             await asyncio.sleep(RETRY_S)
             return
         self.group.contact = time.monotonic()
@@ -141,6 +143,24 @@
         elif len(self.buffer) >= MAX_BUFFERED:
             await asyncio.sleep(POLL_WAIT_MS / 1000)
 
+    async def _fetch_abandonable(self, following):
+        """Return the primary's answer; None if the role changed meanwhile.
+
+        The request to a primary that was cut off hangs until its timeout,
+        and the new primary's marker would wait for that.
+        """
+        self.fetching = asyncio.ensure_future(self._fetch(following))
+        try:
+            await asyncio.wait({self.fetching})
+            cancelled = self.fetching.cancelled()
+            return None if cancelled else self.fetching.result()
+        finally:
+            self.fetching.cancel()
+
+    def _abandon(self) -> None:
+        if self.fetching is not None:
+            self.fetching.cancel()
+
     def _held(self) -> Position:
         if self.buffer:
             entry = self.buffer[-1][1]
--- a/chivescale_standin/tests/steps/group_steps.py
+++ b/chivescale_standin/tests/steps/group_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from unittest import mock
 
 import pymysql
 from behave import given, then, when
@@ -11,6 +12,7 @@
 
 from chivescale.errors import is_failure
 from chivescale.messages import EndpointStatus, TermStart
+from chivescale_standin import _replica
 from chivescale_standin._store import common_prefix
 from chivescale_standin.tests import support
 
@@ -247,6 +249,13 @@
     context.group.fault(0, cut_all=True)
 
 
+@given("replication requests time out after {seconds:d} s")
+def long_timeout(context, seconds):
+    patch = mock.patch.object(_replica, "POLL_TIMEOUT_S", float(seconds))
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
 @when("e1 becomes primary in term 2 without e0")
 def new_primary(context):
     others = list(range(2, len(context.group.endpoints)))
