--- a/benchmarks/callers.py
+++ b/benchmarks/callers.py
@@ -22,6 +22,8 @@
 
 TABLE = "benchmark_writes"
 ERROR_PAUSE_S = 0.02
+# Callers that read their own writes write this share of their statements.
+OWN_WRITES = 0.2
 
 
 class CallerPlan(msgspec.Struct, frozen=True):
@@ -32,7 +34,9 @@
     login : LoadPlan
         Addresses, account and delays; its other fields are unused.
     kind : str
-        ``write``, ``browse``, ``token``, ``untagged`` or ``roaming``.
+        ``write``; ``browse`` or ``barrier`` for reads with and without a
+        stated age; ``token``, ``untagged`` or ``roaming`` for reads of own
+        writes with a token, without one, and through changing hosts.
     callers : int
         Callers at the same time.
     think_ms : float
@@ -103,7 +107,8 @@
     async def work(self, end: float) -> None:
         """Run statements until the end."""
         plan = self.plan
-        writes = {"write": 1.0, "browse": 0.0}.get(plan.kind, 0.2)
+        shares = {"write": 1.0, "browse": 0.0, "barrier": 0.0}
+        writes = shares.get(plan.kind, OWN_WRITES)
         try:
             while time.monotonic() < end:
                 if self.rng.random() < writes:
--- a/benchmarks/records.py
+++ b/benchmarks/records.py
@@ -91,12 +91,12 @@
         if name in self.figures:
             raise ValueError(f"figure {name} recorded twice")
         self.figures[name] = value
-        known = None if math.isnan(value) else round(value, 4)
-        self._write("figure", name=name, value=known, count=count, need=need)
+        self._write("figure", name=name, value=value, count=count, need=need)
         print(f"{self.name}: {name} = {value:.4g} (n={count})", flush=True)
 
     def _write(self, kind: str, **fields: object) -> None:
-        self.file.write(json.dumps({"kind": kind} | fields) + "\n")
+        line = {key: _plain(value) for key, value in fields.items()}
+        self.file.write(json.dumps({"kind": kind} | line) + "\n")
         self.file.flush()
 
 
@@ -134,6 +134,13 @@
     return start, {figure["name"]: figure for figure in figures}
 
 
+def _plain(value: object) -> object:
+    """Return a value that JSON can hold."""
+    if isinstance(value, float):
+        return None if math.isnan(value) else round(value, 4)
+    return value
+
+
 def _commit() -> str:
     done = subprocess.run(
         ["git", "describe", "--always", "--dirty"],
