--- a/benchmarks/callers.py
+++ b/benchmarks/callers.py
@@ -35,7 +35,7 @@
         Addresses, account and delays; its other fields are unused.
     kind : str
         ``write``; ``browse`` or ``barrier`` for reads with and without a
-        stated age; ``token``, ``untagged`` or ``roaming`` for reads of own
+        stated age; ``aged`` for reads with a stated age and a token; ``token``, ``untagged`` or ``roaming`` for reads of own
         writes with a token, without one, and through changing hosts.
     callers : int
         Callers at the same time.
@@ -107,8 +107,10 @@
     async def work(self, end: float) -> None:
         """Run statements until the end."""
         plan = self.plan
-        shares = {"write": 1.0, "browse": 0.0, "barrier": 0.0}
+        shares = {"write": 1.0, "browse": 0.0, "barrier": 0.0, "aged": 0.0}
         writes = shares.get(plan.kind, OWN_WRITES)
+        if plan.kind == "aged":
+            await self.write()
         try:
             while time.monotonic() < end:
                 if self.rng.random() < writes:
@@ -152,12 +154,12 @@
         """Read a row as the kind of caller says."""
         kind, link, fields = self.plan.kind, self.link, ""
         required = None
-        if kind == "browse":
+        if kind in ("browse", "aged"):
             fields = f"staleness_ms={self.plan.staleness_ms}"
         elif kind == "roaming":
             link = self.rng.choice((self.link, self.other))
-        if kind in ("token", "roaming") and self.token:
-            fields = f"token='{self.token}'"
+        if kind in ("token", "roaming", "aged") and self.token:
+            fields += f" token='{self.token}'"
             required = parse_token(self.token, self.plan.login.service)
         sql = (
             f"{self._hint(fields)}SELECT MAX(sequence) FROM {TABLE}"
--- a/benchmarks/statements.py
+++ b/benchmarks/statements.py
@@ -37,9 +37,10 @@
     connect_delay_ms=0.0,
 )
 SERVICE = PLAN.services[0]
-# Statement kinds: a read with a stated age, a read that needs a barrier and
-# a write that a quorum confirms.
-KINDS = ("browse", "untagged", "write")
+# Statement kinds: a read that states an age and its token and so needs no
+# question to the endpoints, a read that needs a barrier, and a write that a
+# quorum confirms.
+KINDS = ("aged", "barrier", "write")
 CALLERS = (1, 16)
 PROCESSES = 2
 FULL_S, QUICK_S = 10.0, 1.0
@@ -93,22 +94,23 @@
 def _measure(system, recorder, key, number: int) -> list[float]:
     """Return the latencies of one round, in milliseconds."""
     path, kind, callers = key
-    login = login_of(system, SERVICE)
+    login, work = login_of(system, SERVICE), kind
     if path == "direct":
         login = _direct_login(system)
+        work = "write" if kind == "write" else "browse"
     processes, plans = [], []
     for part in range(min(PROCESSES, callers)):
         label = f"{path}.{kind}.{callers}.{number}.{part}"
         plan = CallerPlan(
             login,
-            # Reads only: "untagged" callers of the other benchmarks write.
-            {"untagged": "barrier"}.get(kind, kind),
+            work,
             callers // min(PROCESSES, callers),
             0.0,
             str(system.folder / f"{label}.jsonl"),
             seconds=_seconds(recorder) + WARM_UP_S,
             seed=recorder.seed,
             staleness_ms=STALENESS_MS,
+            tokens=work == "aged",
         )
         processes.append(start_callers(system, label, plan))
         plans.append(plan)
