--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -5,9 +5,10 @@
 import pathlib
 import sys
 import time
+import traceback
 
 from benchmarks.records import Recorder
-from tools.processes import ROOT, ProcessError
+from tools.processes import ROOT
 
 NAMES = (
     "failover",
@@ -44,9 +45,10 @@
         try:
             with Recorder(path, name, options.quick, options.seed) as recorder:
                 module.run(recorder, out)
-        except ProcessError as err:
+        except Exception:  # the other benchmarks still run
             failed += 1
-            print(f"{name}: failed: {err}", flush=True)
+            traceback.print_exc()
+            print(f"{name}: failed", flush=True)
         print(f"{name}: {time.monotonic() - started:.0f} s", flush=True)
     return int(failed > 0)
 
