Replace silent replication connections before they look like a cut

Cause: a replica replaced a connection that no longer answered after 0.5 s plus a pause of 50 ms and then waited for its turn of a long poll, so both replicas reported no contact for over 600 ms and the watchers took a primary for detached that answered on new connections. Ruled out: the watchers' own probes, which use fresh connections; every such promotion gave 'detached' as its reason. Change: replace the connection after 0.35 s and ask without waiting then.

--- a/chivescale_standin/_replica.py
+++ b/chivescale_standin/_replica.py
@@ -18,7 +18,10 @@
 # Short polls keep the age of the last contact well under the silence that
 # counts against a primary (350 ms).
 POLL_WAIT_MS = 100
-POLL_TIMEOUT_S = 0.5
+# A connection that went silent is replaced after this time. With 0.5 s, both
+# replicas reported no contact for 600 ms and the watchers took the primary
+# for detached, although it answered on new connections.
+POLL_TIMEOUT_S = 0.35
 RETRY_S = 0.05
 BATCH_BYTES = 256 << 10
 MAX_BUFFERED = 2000
@@ -83,6 +86,7 @@
         )
         self.following = None
         self.fetching: asyncio.Task | None = None
+        self.failed = False
         self.tasks: list[asyncio.Task] = []
         group.on_fence.append(self._abandon)
 
@@ -126,6 +130,7 @@
             await asyncio.sleep(RETRY_S)
             return
         reply = await self._fetch_abandonable(following)
+        self.failed = reply is None or is_failure(reply)
         await self.faults.gate()
         if self._current() != following:
             return
@@ -169,7 +174,9 @@
 
     async def _fetch(self, following):
         held = self._held()
-        wait_ms = 0 if len(self.buffer) >= MAX_BUFFERED else POLL_WAIT_MS
+        # After a failure an answer at once renews the contact.
+        at_once = self.failed or len(self.buffer) >= MAX_BUFFERED
+        wait_ms = 0 if at_once else POLL_WAIT_MS
         return await self._ask(following, held, wait_ms)
 
     async def _ask(self, following, held: Position, wait_ms: int):
--- a/chivescale_standin/tests/replication.feature
+++ b/chivescale_standin/tests/replication.feature
@@ -123,6 +123,9 @@
     And 1 row is written to e1
     Then e2 serves the same rows as e1
 
+  Scenario: A silent connection is replaced before the primary seems detached
+    Then a replica replaces a silent connection 100 ms before the limit
+
   Scenario: A cut leaves callers in contact
     Given a group of 3 endpoints with primary e0 in term 1
     When e0 is cut from e1
--- a/chivescale_standin/tests/steps/group_steps.py
+++ b/chivescale_standin/tests/steps/group_steps.py
@@ -11,6 +11,7 @@
 from hypothesis import strategies as st
 
 from chivescale.errors import is_failure
+from chivescale.failover._watcher import DETACHED_CONTACT_MS
 from chivescale.messages import EndpointStatus, TermStart
 from chivescale_standin import _replica
 from chivescale_standin._store import common_prefix
@@ -256,6 +257,13 @@
     context.add_cleanup(patch.stop)
 
 
+@then("a replica replaces a silent connection {ms:d} ms before the limit")
+def replaces_silent(context, ms):
+    # Measured without this margin: promotions for silent connections.
+    longest_ms = (_replica.POLL_TIMEOUT_S + _replica.RETRY_S) * 1000
+    assert longest_ms + ms < DETACHED_CONTACT_MS, longest_ms
+
+
 @when("e1 becomes primary in term 2 without e0")
 def new_primary(context):
     others = list(range(2, len(context.group.endpoints)))
