Drop idle connections when a write gets no answer

Cause: writes noticed silent connections only at their own deadline, so each idle connection that went silent held one more write for 5 s. Ruled out: giving up the hanging write earlier, since a slow write looks the same and its outcome would become unknown. Change: a write without an answer for silence_timeout_ms, beside no answered statement of the endpoint, drops the idle connections, once.

--- a/chivescale/pipeline/_gate.py
+++ b/chivescale/pipeline/_gate.py
@@ -45,6 +45,8 @@
         self.leaving = record.leaving
         self.suspect_until = 0.0
         self.behind_until = 0.0
+        # When a statement was answered last, in monotonic seconds.
+        self.answered_at = 0.0
         self.timer: asyncio.TimerHandle | None = None
 
     @property
@@ -79,8 +81,10 @@
 
     def leave(self, latency_s: float, ok: bool) -> None:
         """Return a place and let the next statements in."""
-        self.limit.release(latency_s, ok, time.monotonic())
+        now = time.monotonic()
+        self.limit.release(latency_s, ok, now)
         if ok:
+            self.answered_at = now
             change = latency_s - self.latency_s
             self.latency_s += LATENCY_SMOOTHING * change
         self._pump()
--- a/chivescale/pipeline/_primary.py
+++ b/chivescale/pipeline/_primary.py
@@ -113,19 +113,30 @@
 async def watch_term(call: Call, primary: Primary, work) -> Answer:
     """Run `work`, but give it up soon after the primary was replaced.
 
-    A frozen primary would otherwise hold the caller until its deadline.
+    A frozen primary would otherwise hold the caller until its deadline. A
+    statement without an answer also makes the idle connections to the
+    primary suspect, since they may have gone silent together.
     """
     task = asyncio.ensure_future(work)
     view = call.service.view
+    started = time.monotonic()
+    silence_s = call.environment.pool.silence_timeout_ms / 1000
+    judged = False
     try:
         while not task.done():
             changed = asyncio.ensure_future(view.changed.wait())
+            left_s = max(0.0, started + silence_s - time.monotonic())
             try:
                 await asyncio.wait(
-                    {task, changed}, return_when=asyncio.FIRST_COMPLETED
+                    {task, changed},
+                    timeout=None if judged else left_s,
+                    return_when=asyncio.FIRST_COMPLETED,
                 )
             finally:
                 changed.cancel()
+            if not judged and time.monotonic() >= started + silence_s:
+                judged = True
+                _judge_silence(primary.gate, task, started)
             if not task.done() and view.record.term > primary.term:
                 await asyncio.wait({task}, timeout=REPLACED_GRACE_S)
                 break
@@ -140,6 +151,17 @@
             await asyncio.wait({task})
 
 
+def _judge_silence(gate: EndpointGate, task, started: float) -> None:
+    """Drop the idle connections if the endpoint answered nothing lately.
+
+    Otherwise every statement that takes one of them would hang until its
+    own deadline. A slow statement beside others that are answered does not
+    count.
+    """
+    if not task.done() and gate.answered_at < started:
+        gate.pool.suspect_silence()
+
+
 async def confirm(call: Call, result: QueryResult, term: int) -> Answer:
     """Acknowledge a result only once it is proven to last.
 
--- a/chivescale/pipeline/tests/steps/gate_steps.py
+++ b/chivescale/pipeline/tests/steps/gate_steps.py
@@ -9,6 +9,8 @@
 from chivescale.errors import ErrorKind
 from chivescale.messages import EndpointRecord
 from chivescale.pipeline._gate import EndpointGate, run_statement
+from chivescale.pipeline._primary import Primary, watch_term
+from chivescale.settings import PoolSettings
 
 RECORD = EndpointRecord("e-1", "ledger", "a", "i", "ip:1", "ip:2", 2, 35)
 WAIT_S = 0.1
@@ -73,3 +75,48 @@
 def all_free(context):
     assert context.gate.limit.in_use == 0
     assert len(context.gate.queue) == 0
+
+
+@given("an endpoint with idle connections")
+def idle_connections(context):
+    context.dropped = []
+    pool = types.SimpleNamespace(
+        suspect_silence=lambda: context.dropped.append(True)
+    )
+    context.gate = EndpointGate(RECORD, pool)
+
+
+@when("a write gets no answer while other statements are {state}")
+def write_without_answer(context, state):
+    async def run():
+        view = types.SimpleNamespace(
+            changed=asyncio.Event(), record=types.SimpleNamespace(term=1)
+        )
+        call = types.SimpleNamespace(
+            service=types.SimpleNamespace(view=view),
+            environment=types.SimpleNamespace(
+                pool=PoolSettings(silence_timeout_ms=20)
+            ),
+        )
+        primary = Primary(context.gate, None, 1)
+        work = asyncio.ensure_future(
+            watch_term(call, primary, asyncio.Event().wait())
+        )
+        await asyncio.sleep(0)
+        if state == "answered":
+            context.gate.join()
+            context.gate.leave(0.001, True)
+        await asyncio.sleep(WAIT_S)
+        # A change of the state must not repeat the judgement.
+        view.changed.set()
+        view.changed = asyncio.Event()
+        await asyncio.sleep(WAIT_S)
+        work.cancel()
+        await asyncio.wait({work})
+
+    asyncio.run(run())
+
+
+@then("the idle connections are dropped {times:d} times")
+def dropped_times(context, times):
+    assert len(context.dropped) == times
