--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -1,1 +1,1 @@
-"""Benchmarks."""
+"""Benchmarks; ``python -m benchmarks [NAME ...]`` runs them."""
--- a/chivescale_standin/tests/replication.feature
+++ b/chivescale_standin/tests/replication.feature
@@ -106,6 +106,18 @@
     Given a group of 1 endpoint
     Then after the loss of its data e0 has a new incarnation and its promise
 
+  Scenario: A new primary need not wait for a request to the cut-off one
+    Given a group of 3 endpoints with primary e0 in term 1
+    And replication requests time out after 60 s
+    And e0 is cut from all endpoints
+    When 600 ms pass
+    And e1 becomes primary in term 2 without e0
+    And 1 row is written to e1
+    Then e2 serves the same rows as e1
+
+  Scenario: A silent connection is replaced before the primary seems detached
+    Then a replica replaces a silent connection 100 ms before the limit
+
   Scenario: A cut leaves callers in contact
     Given a group of 3 endpoints with primary e0 in term 1
     When e0 is cut from e1
--- a/chivescale_standin/tests/steps/group_steps.py
+++ b/chivescale_standin/tests/steps/group_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import concurrent.futures
 import time
+from unittest import mock
 
 import pymysql
 from behave import given, then, when
@@ -11,7 +12,9 @@
 from hypothesis import strategies as st
 
 from chivescale.errors import is_failure
+from chivescale.failover._watcher import DETACHED_CONTACT_MS
 from chivescale.messages import EndpointStatus, TermStart
+from chivescale_standin import _replica
 from chivescale_standin._store import common_prefix
 from chivescale_standin.tests import support
 
@@ -203,6 +206,20 @@
     assert context.outcome.errno == READ_ONLY, context.outcome
 
 
+@given("replication requests time out after {seconds:d} s")
+def long_timeout(context, seconds):
+    patch = mock.patch.object(_replica, "POLL_TIMEOUT_S", float(seconds))
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
+@then("a replica replaces a silent connection {ms:d} ms before the limit")
+def replaces_silent(context, ms):
+    # Measured without this margin: promotions for silent connections.
+    longest_ms = (_replica.POLL_TIMEOUT_S + _replica.RETRY_S) * 1000
+    assert longest_ms + ms < DETACHED_CONTACT_MS, longest_ms
+
+
 @when("e1 becomes primary in term 2 without e0")
 def new_primary(context):
     others = list(range(2, len(context.group.endpoints)))
