--- /dev/null
+++ b/features/faults/environment.py
@@ -0,0 +1,48 @@
+"""Systems that the scenarios of a feature share."""
+
+import shutil
+
+from features.faults.support import close_callers
+from tools.system import Plan, System
+
+# Files of this size fill the simulated disk of the disk scenario, so the
+# control hosts take no snapshot of their own meanwhile.
+PLANS = {
+    "service": Plan(control=3),
+    "control": Plan(workspaces=("mill-1",)),
+    "leaving": Plan(control=3, endpoints=5, workspaces=("mill-1",)),
+    "relayed": Plan(control=3, entry=1, workspaces=("mill-1",)),
+}
+
+
+def before_feature(context, feature):
+    """Start the system named by the first tag of the feature."""
+    context.system = context.relays = None
+    for tag in feature.tags:
+        if tag not in PLANS or tag == "relayed":
+            continue
+        context.system = System(PLANS[tag])
+        try:
+            context.system.start_all()
+        except BaseException:
+            context.system.close()
+            raise
+
+
+def before_scenario(context, scenario):
+    """Forget the callers of the scenario before."""
+    context.callers = {}
+
+
+def after_scenario(context, scenario):
+    """Close what the scenario left open."""
+    close_callers(context)
+
+
+def after_feature(context, feature):
+    """End the processes; the logs of a failure are kept."""
+    if context.system is None:
+        return
+    context.system.close()
+    if feature.status == "passed":
+        shutil.rmtree(context.system.folder)
