Check the model against a process; add today's size and statements

Cause: the slopes leave out what the event loop of a process costs, and the page said nothing about today's size. Conclusion: the larger size is a plan; the page names what is open.

--- a/benchmarks/capacity/_events.py
+++ b/benchmarks/capacity/_events.py
@@ -1,7 +1,9 @@
 """Cost of faults and changes: what one of them brings, and how long."""
 
 from benchmarks.capacity import _sizes as sizes
-from benchmarks.capacity._model import Model, Row
+from benchmarks.capacity._model import Model, Row, rows_of
+from chivescale.entry._heartbeat import CALL_TIMEOUT_S
+from chivescale.entry._watch import FIRST_ASK_S, RETRY_PAUSE_S
 
 # Requests of the leader for one failover of a group: a promise of each voter,
 # one promotion, a follow and a position question for each other voter.
@@ -48,13 +50,15 @@
     return max(last, cpu) + taken / 1e6
 
 
+def _silent_watch_s(model: Model) -> float:
+    waits = model.layout.heartbeat_s + CALL_TIMEOUT_S
+    return waits + RETRY_PAUSE_S + FIRST_ASK_S + in_force_s(model)
+
+
 def event_rows(models: list[Model]) -> list[Row]:
     """Return the table of changes and faults."""
 
-    def row(item, mechanism, unit, compute, budget=0.0):
-        values = tuple(compute(model) for model in models)
-        return Row(item, mechanism, unit, values, budget)
-
+    row = rows_of(models)
     return [
         row(
             "configuration change: commit to in force",
@@ -63,6 +67,13 @@
             in_force_s,
             sizes.IN_FORCE_S,
         ),
+        row(
+            "configuration change: when a host's watches went silent",
+            "the leader's index in the next heartbeat, then all members asked",
+            "s",
+            _silent_watch_s,
+            sizes.IN_FORCE_S,
+        ),
         row(
             "configuration changes of a day, leader",
             "agreement and state; a command per change when planned",
--- a/benchmarks/capacity/_model.py
+++ b/benchmarks/capacity/_model.py
@@ -326,3 +326,13 @@
     def leader_memory(self) -> float:
         """Return the memory of a control host."""
         return self.at("control.idle_memory") + self.state_memory()
+
+
+def rows_of(models: list[Model]):
+    """Return a function that computes a row for each model."""
+
+    def row(item, mechanism, unit, compute, budget=0.0):
+        values = tuple(compute(model) for model in models)
+        return Row(item, mechanism, unit, values, budget)
+
+    return row
--- a/benchmarks/capacity/_sizes.py
+++ b/benchmarks/capacity/_sizes.py
@@ -49,6 +49,38 @@
     Size("33,000 endpoints", group=3),
 )
 
+# The size of today with the larger of its host numbers; the workspaces are
+# an assumption.
+NOW = (
+    Size(
+        "17 hosts, 9 endpoints",
+        group=3,
+        hosts=17,
+        services=3,
+        workspaces=100,
+        regions=1,
+        zones=4,
+        primary_changes=2,
+        changes=24,
+        failures=1,
+        restarts=17,
+        control_hosts=5,
+    ),
+)
+
+# The process of the statement series: one host that watches one service.
+ONE = Size(
+    "one host, one service",
+    group=3,
+    hosts=1,
+    services=1,
+    workspaces=2,
+    changes=0,
+    primary_changes=0,
+    failures=0,
+    restarts=0,
+)
+
 # Budgets of section 1.6. The 35 control hosts are set aside, so their
 # processes may use half a core; the other half stays for bursts.
 HOST_CPU_US = 0.024 * 1e6
@@ -102,6 +134,8 @@
 
 TODAY = Layout("today's code")
 
+ALONE = Layout("one host", members=3, watchers=1, probing=1)
+
 # One group per region and one for the sheet numbers: 6 x 5 + 5 = 35 hosts.
 PLANNED = Layout(
     "planned layout",
@@ -116,7 +150,6 @@
     filtered=True,
     changes_only=True,
 )
-SET_ASIDE = 6 * 5 + 5
 
 
 class Share(msgspec.Struct, frozen=True):
--- a/benchmarks/capacity/_statements.py
+++ b/benchmarks/capacity/_statements.py
@@ -17,6 +17,8 @@
 # processor time without statements.
 SECONDS = 4.0
 RATES = (25, 50, 75, 100, 150)
+# The stand-in endpoint syncs each write and stops at about 60 a second.
+WRITE_RATES = (10, 20, 30, 40, 50)
 CONNECTIONS = 16
 CALLERS = (100, 200, 400, 800)
 POOLED = (50, 100, 200, 400)
@@ -46,13 +48,14 @@
         yield point(
             "entry.idle_memory", "hosts", 1, "B", [entry.memory_info().rss]
         )
+        yield from _idle(system, entry)
         leader = psutil.Process(system.by_name[system.control_leader()].pid)
         yield point(
             "control.idle_memory", "hosts", 1, "B", [leader.memory_info().rss]
         )
         asyncio.run(_create(system))
         for kind in KINDS:
-            for rate in RATES:
+            for rate in WRITE_RATES if kind == "write" else RATES:
                 yield from asyncio.run(_load(system, entry, kind, rate))
         yield from asyncio.run(_connections(system, entry))
 
@@ -74,6 +77,21 @@
     return found
 
 
+def _idle(system, entry):
+    """Measure a host that watches one service and has no callers."""
+    used, counted = _cpu_s(entry), _counters(system)
+    started = time.monotonic()
+    time.sleep(SECONDS)
+    seconds = time.monotonic() - started
+    after = _counters(system)
+    rows = {"cpu": ((_cpu_s(entry) - used) * 1e6, "us")}
+    for key, unit in (("bytes", "B"), ("messages", "messages")):
+        rows[key] = (after[key] - counted[key], unit)
+    for key, (value, unit) in rows.items():
+        name = f"statements.none_{key}"
+        yield point(name, "hosts", 1, f"{unit}/s", [value / seconds])
+
+
 async def _create(system) -> None:
     connection = await mysql.connect(
         system.by_name["entry-1"].addresses["mysql"],
--- a/benchmarks/capacity/_tables.py
+++ b/benchmarks/capacity/_tables.py
@@ -5,34 +5,29 @@
 from benchmarks.capacity import _sizes as sizes
 from benchmarks.capacity._events import event_rows
 from benchmarks.capacity._fit import Line
-from benchmarks.capacity._model import Model, Row
-
-CORES = 8
+from benchmarks.capacity._model import Model, Row, rows_of
+from benchmarks.capacity._ways import statement_rows, way_rows
 
 
 def make_tables(lines: dict[str, Line]) -> dict[str, str]:
     """Return every table by name, as Markdown."""
     tables = {"slopes": _slopes(lines)}
+    now = [Model(lines, size, sizes.TODAY) for size in sizes.NOW]
+    tables["entry-now"] = _render(_entry_rows(now), sizes.NOW)
+    tables["control-now"] = _render(_control_rows(now), sizes.NOW)
     for layout, name in ((sizes.TODAY, "today"), (sizes.PLANNED, "planned")):
         models = [Model(lines, size, layout) for size in sizes.SIZES]
         tables[f"entry-{name}"] = _render(_entry_rows(models))
         tables[f"control-{name}"] = _render(_control_rows(models))
         tables[f"events-{name}"] = _render(event_rows(models))
-    tables["statements"] = _render(_statement_rows(lines))
-    tables["ways"] = _render(_way_rows(lines))
+    tables["check"] = _check(lines)
+    tables["statements"] = _render(statement_rows(lines))
+    tables["ways"] = _render(way_rows(lines))
     return tables
 
 
-def _rows_of(models):
-    def row(item, mechanism, unit, compute, budget=0.0):
-        values = tuple(compute(model) for model in models)
-        return Row(item, mechanism, unit, values, budget)
-
-    return row
-
-
 def _entry_rows(models) -> list[Row]:
-    row = _rows_of(models)
+    row = rows_of(models)
     cpu, size = "us/s", "B/s"
     return [
         row("services known", "homes", "", lambda m: m.share.host_services),
@@ -84,6 +79,13 @@
             lambda m: m.host_totals()[0],
             sizes.HOST_CPU_US,
         ),
+        row(
+            "**the same with the factor of the check**",
+            "event loop, timers and metrics of a process",
+            cpu,
+            lambda m: m.host_totals()[0] * _check_factor(m.lines),
+            sizes.HOST_CPU_US,
+        ),
         row(
             "**all control, bytes**",
             "",
@@ -102,7 +104,7 @@
 
 
 def _control_rows(models) -> list[Row]:
-    row, cpu = _rows_of(models), "us/s"
+    row, cpu = rows_of(models), "us/s"
     return [
         row("hosts of a group", "groups", "", lambda m: m.share.group_hosts),
         row(
@@ -158,173 +160,6 @@
     return float(layout.groups * layout.members + extra)
 
 
-def _statement_rows(lines) -> list[Row]:
-    models = [Model(lines, size, sizes.PLANNED) for size in sizes.SIZES]
-    row = _rows_of(models)
-    rows = [
-        row(
-            "statements a second on each host",
-            "spread evenly",
-            "1/s",
-            lambda m: m.size.statements / m.size.hosts,
-        ),
-        row(
-            "statements a second on each service",
-            "spread evenly",
-            "1/s",
-            lambda m: m.size.statements / m.size.services,
-        ),
-    ]
-    for kind in ("stale_read", "current_read", "write"):
-        name = kind.replace("_", " ")
-        rows += [
-            row(
-                f"{name}: processor",
-                "one entry host process",
-                "us",
-                lambda m, k=kind: m.slope(f"statements.{k}_cpu"),
-            ),
-            row(
-                f"{name}: bytes to endpoints' admin port",
-                "barriers, confirmations",
-                "B",
-                lambda m, k=kind: max(0, m.slope(f"statements.{k}_bytes")),
-            ),
-            row(
-                f"{name}: processes for the host's rate",
-                "a Python process uses one core",
-                f"of {CORES} cores",
-                lambda m, k=kind: (
-                    m.size.statements
-                    / m.size.hosts
-                    * m.slope(f"statements.{k}_cpu")
-                    / 1e6
-                ),
-                float(CORES),
-            ),
-        ]
-    rows += [
-        row(
-            "caller connections on each host",
-            "spread evenly",
-            "",
-            lambda m: m.size.callers / m.size.hosts,
-            4000.0,
-        ),
-        row(
-            "memory of the caller connections",
-            "one entry host process",
-            "MiB",
-            lambda m: (
-                m.size.callers
-                / m.size.hosts
-                * m.slope("entry.caller_rss")
-                / 2**20
-            ),
-        ),
-        row(
-            "memory of the pooled connections",
-            "35 connections of each endpoint, shared by its homes",
-            "MiB",
-            lambda m: (
-                m.share.host_endpoints
-                * 35
-                / m.share.sharers
-                * m.slope("entry.pooled_rss")
-                / 2**20
-            ),
-        ),
-        row(
-            "hosts that hold a connection to one endpoint, all hosts",
-            "floor of one connection for every host",
-            "of 35",
-            lambda m: float(m.size.hosts),
-            35.0,
-        ),
-        row(
-            "hosts that hold a connection to one endpoint, homes",
-            "a service has its homes",
-            "of 35",
-            lambda m: m.share.sharers,
-            35.0,
-        ),
-    ]
-    return rows
-
-
-def _way_rows(lines) -> list[Row]:
-    today = [Model(lines, size, sizes.TODAY) for size in sizes.SIZES]
-    row = _rows_of(today)
-
-    def pushes(model, size: float) -> float:
-        return model.state_changes * model.layout.watches * size
-
-    def all_to_all(model) -> float:
-        body = model.at("control.heartbeat_bytes", 0.0)
-        return model.size.hosts * model.exchange(body, "client")
-
-    return [
-        row(
-            "full state to each host at each change",
-            "way not taken",
-            "B/s for a host",
-            lambda m: pushes(m, m.full_bytes()),
-            sizes.HOST_BYTES,
-        ),
-        row(
-            "changes only, to each host",
-            "way taken",
-            "B/s for a host",
-            lambda m: pushes(m, m.exchange_bytes(m.delta_bytes)),
-            sizes.HOST_BYTES,
-        ),
-        row(
-            "heartbeats from every host to every host",
-            "way not taken",
-            "us/s for a host",
-            all_to_all,
-            sizes.HOST_CPU_US,
-        ),
-        row(
-            "heartbeats to one leader",
-            "way taken",
-            "us/s for a host",
-            lambda m: m.exchange(
-                m.at("control.heartbeat_bytes", 0.0), "client"
-            ),
-            sizes.HOST_CPU_US,
-        ),
-        row(
-            "one message to control for each statement, host",
-            "way not taken",
-            "us/s for a host",
-            lambda m: (
-                m.size.statements / m.size.hosts * m.exchange(300, "client")
-            ),
-            sizes.HOST_CPU_US,
-        ),
-        row(
-            "one message to control for each statement, 35 control hosts",
-            "way not taken",
-            "cores for each",
-            lambda m: (
-                m.size.statements
-                / m.size.control_hosts
-                * m.exchange(300, "server")
-                / 1e6
-            ),
-            sizes.CONTROL_CPU_US / 1e6,
-        ),
-        row(
-            "no message to control for a statement",
-            "way taken",
-            "us/s for a host",
-            lambda m: 0.0,
-            sizes.HOST_CPU_US,
-        ),
-    ]
-
-
 def _number(value: float) -> str:
     if value == 0:
         return "0"
@@ -333,8 +168,8 @@
     return f"{rounded:,.{digits}f}" if digits else f"{rounded:,}"
 
 
-def _render(rows: list[Row]) -> str:
-    labels = [size.label for size in sizes.SIZES]
+def _render(rows: list[Row], of=sizes.SIZES) -> str:
+    labels = [size.label for size in of]
     head = ["what", "mechanism", "unit", *labels, "budget", "result"]
     body = [
         [
@@ -350,6 +185,34 @@
     return _markdown(head, body)
 
 
+def _check_factor(lines: dict[str, Line]) -> float:
+    """Return how much more an idle process takes than the model says."""
+    model = Model(lines, sizes.ONE, sizes.ALONE)
+    return model.at("statements.none_cpu") / model.host_totals()[0]
+
+
+def _check(lines: dict[str, Line]) -> str:
+    """Compare the model with an idle entry host process."""
+    model = Model(lines, sizes.ONE, sizes.ALONE)
+    cpu, size = model.host_totals()
+    body = [
+        ["processor", "us/s", cpu, model.at("statements.none_cpu")],
+        ["bytes", "B/s", size, model.at("statements.none_bytes")],
+    ]
+    rows = [
+        [
+            what,
+            unit,
+            _number(computed),
+            _number(measured),
+            f"{measured / computed:.2f}",
+        ]
+        for what, unit, computed, measured in body
+    ]
+    head = ["what", "unit", "computed", "measured", "measured / computed"]
+    return _markdown(head, rows)
+
+
 def _slopes(lines: dict[str, Line]) -> str:
     head = [
         "series", "against", "points", "from", "to", "unit", "slope",
