--- a/examples/tests/examples.feature
+++ b/examples/tests/examples.feature
@@ -12,3 +12,6 @@
       | operator    | slots | connections |
       | association | 2     | 35          |
       | velos       | 3     | 80          |
+
+  Scenario: The embedding example
+    Then the embedding example confirms its write and finds a replica
--- a/examples/tests/steps/example_steps.py
+++ b/examples/tests/steps/example_steps.py
@@ -1,6 +1,8 @@
 """Steps for the example files."""
 
 import pathlib
+import subprocess
+import sys
 
 from behave import then
 from mysql_mimic.auth import NativePasswordAuthPlugin
@@ -60,3 +62,17 @@
         secret = f"example-{workspace.name}"
         expected = NativePasswordAuthPlugin.create_auth_string(secret)
         assert workspace.secret_hash == expected.lower(), workspace.name
+
+
+@then("the embedding example confirms its write and finds a replica")
+def embedding_runs(context):
+    done = subprocess.run(
+        [sys.executable, str(FOLDER / "embedding.py")],
+        check=True,
+        capture_output=True,
+        text=True,
+        cwd=FOLDER.parent,
+    )
+    lines = done.stdout.splitlines()
+    assert lines[0] == "write: Confirmed", lines
+    assert lines[1].endswith("('db-3',)"), lines
