Open connections only to the known incarnation of an endpoint

Cause: found in the read-through: an endpoint that lost its data answers at the same address, and until its announcement is in force a pool would open connections to the empty data while the known position was that of the former incarnation. Change: a new connection asks for @@server_uuid and is refused if it is not the incarnation of the record; what is known of another incarnation does not make an endpoint eligible for reads. The random system has the fault wipe. The check costs one round trip for each new connection.

--- a/chivescale/entry/_host.py
+++ b/chivescale/entry/_host.py
@@ -148,13 +148,16 @@
         }
 
     async def _connect(self, record, deadline: float):
-        return await mysql.connect(
+        connection = await mysql.connect(
             record.mysql_address,
             self.settings.cluster.endpoint_user,
             self.endpoint_secret,
             record.service,
             deadline,
         )
+        if is_failure(connection):
+            return connection
+        return await check_incarnation(connection, record, deadline)
 
     async def _follow_state(self) -> None:
         await self.watch.first_sync(self.settings.entry.start_grace_s)
@@ -249,6 +252,26 @@
         await self.client.close()
 
 
+async def check_incarnation(connection, record, deadline: float):
+    """Return the connection if it leads to the known incarnation.
+
+    What is known of an endpoint's position holds for one incarnation. An
+    endpoint that lost its data comes back at the same address and would
+    serve reads that miss confirmed writes until its announcement is in
+    force here.
+    """
+    answer = await connection.query("SELECT @@server_uuid", deadline)
+    found = "no answer"
+    if not is_failure(answer) and answer.rows:
+        value = answer.rows[0][0]
+        found = value.decode() if isinstance(value, bytes) else str(value)
+    if found == record.incarnation:
+        return connection
+    connection.close()
+    reason = f"{record.endpoint}: incarnation {found}"
+    return Failure(ErrorKind.UNREACHABLE, reason)
+
+
 def _caller_tls(settings: Settings) -> ssl.SSLContext | Failure | None:
     tls = settings.tls
     if not tls.caller_certificate:
--- a/chivescale/entry/tests/random_system.feature
+++ b/chivescale/entry/tests/random_system.feature
@@ -16,3 +16,4 @@
       | 4    | 15    | kill                                                |
       | 5    | 15    | freeze,silence                                      |
       | 6    | 15    | cut,isolate,lag                                     |
+      | 7    | 15    | kill,wipe,lag                                       |
--- a/chivescale/entry/tests/random_system.py
+++ b/chivescale/entry/tests/random_system.py
@@ -10,6 +10,7 @@
 import contextlib
 import pathlib
 import random
+import shutil
 import tempfile
 import time
 import types
@@ -17,6 +18,7 @@
 
 from chivescale.control import ControlHost
 from chivescale.entry import EntryHost
+from chivescale.entry._host import check_incarnation
 from chivescale.entry.tests import fake_network as fake
 from chivescale.entry.tests.virtual_time import virtual_time
 from chivescale.entry.tests.workload import Checker, Session
@@ -82,6 +84,7 @@
         self.checker = Checker()
         self.sheet_number = 0
         self.sheets_seen: dict[str, int] = {}
+        self.next_wipe = 0.0
         self.faults: collections.Counter[str] = collections.Counter()
 
     # processes
@@ -117,7 +120,12 @@
         host = EntryHost(settings, b"s" * 40, Metrics())
 
         async def connect(record, deadline):
-            return await fake.connect(self.network, name, record, deadline)
+            connection = await fake.connect(
+                self.network, name, record, deadline
+            )
+            if is_failure(connection):
+                return connection
+            return await check_incarnation(connection, record, deadline)
 
         host.services.connect = connect
         await host.start()
@@ -271,6 +279,8 @@
         await world.kill(name)
         await asyncio.sleep(rng.uniform(0.0, 3.0))
         await world.restart(name)
+    elif fault == "wipe":
+        await _wipe(world)
     elif fault == "freeze":
         network.frozen[name] = time.monotonic() + rng.uniform(0.1, 4.0)
     elif fault == "cut":
@@ -294,6 +304,23 @@
         await _race_sheets(world)
 
 
+async def _wipe(world: World) -> None:
+    """Let an endpoint lose its disk.
+
+    Two lost disks within the time that a readmission takes can lose every
+    copy of a write, which no protocol with three copies prevents.
+    """
+    now = time.monotonic()
+    if now < world.next_wipe or len(world.endpoints) < 3:
+        return
+    world.next_wipe = now + 30.0
+    name = world.rng.choice(list(world.endpoints))
+    await world.kill(name)
+    shutil.rmtree(world.folder / name)
+    await asyncio.sleep(world.rng.uniform(0.0, 1.0))
+    await world.restart(name)
+
+
 async def _race_sheets(world: World) -> None:
     """Two operators send different sheets with one number at once."""
     world.sheet_number += 1
--- a/chivescale/pipeline/_admission.py
+++ b/chivescale/pipeline/_admission.py
@@ -5,6 +5,7 @@
 from chivescale.errors import ErrorKind, Failure, is_failure
 from chivescale.messages import ServiceBinding, WorkspaceRecord
 from chivescale.pipeline._call import Answer, Call, Environment, Step
+from chivescale.pipeline._transaction import close_transaction
 from chivescale.routing import Hints, classify, parse_hints
 from chivescale.session import SessionPosition
 
@@ -37,7 +38,10 @@
     """Check workspace and service against the sheet in force."""
     found = resolve(call.environment, call.session)
     if is_failure(found):
-        return found
+        if call.state.pinned is None:
+            return found
+        close_transaction(call.state, call.session)
+        return Failure(ErrorKind.TRANSACTION_ABORTED, found.reason)
     call.workspace, call.binding = found
     call.service = call.environment.service(call.session.service)
     position = call.state.position
--- a/chivescale/pipeline/_read.py
+++ b/chivescale/pipeline/_read.py
@@ -156,6 +156,10 @@
     name = gate.record.endpoint
     position = plan.need.position
     freshness = view.freshness
+    # What is known of another incarnation says nothing about the data that
+    # the pool's connections lead to.
+    known = freshness.incarnation(name)
+    same = known is None or known == gate.record.incarnation
     return Candidate(
         endpoint=name,
         zone=gate.record.zone,
@@ -164,9 +168,10 @@
         in_use=gate.in_use,
         limit=gate.limit.limit,
         latency_s=gate.latency_s,
-        proven_age_s=freshness.proven_age_s(name, now),
-        holds_position=position is None or freshness.holds(name, position),
-        promised_ok=freshness.promised_ok(name, plan.promised_term),
+        proven_age_s=freshness.proven_age_s(name, now) if same else None,
+        holds_position=same
+        and (position is None or freshness.holds(name, position)),
+        promised_ok=same and freshness.promised_ok(name, plan.promised_term),
         suspect=gate.suspect_until > now,
     )
 
--- a/chivescale_standin/_sql.py
+++ b/chivescale_standin/_sql.py
@@ -23,6 +23,7 @@
 _SLEEP = re.compile(
     r"\s*SELECT\s+SLEEP\s*\(\s*(\d+(?:\.\d*)?)\s*\)\s*;?\s*", re.IGNORECASE
 )
+_SERVER_UUID = re.compile(r"\s*SELECT\s+@@server_uuid\s*;?\s*", re.IGNORECASE)
 _AUTOCOMMIT = re.compile(
     r"\s*SET\s+(?:SESSION\s+|@@(?:session\.)?)?AUTOCOMMIT\s*=\s*(\w+)",
     re.IGNORECASE,
@@ -114,6 +115,9 @@
         return outcome
 
     async def _schedule(self, session, sql) -> QueryResult | Failure:
+        if _SERVER_UUID.fullmatch(sql):
+            uuid = self.group.file.role.incarnation
+            return make_rows(["@@server_uuid"], [(uuid,)])
         nap = _SLEEP.fullmatch(sql)
         statement = translate(sql, self.settings.service)
         data = session.data
