Tell the truth about a keyed write whose COMMIT had left

Cause: when a newer term was published, a keyed write that waited for the answer of COMMIT was answered with did_not_run, although the new primary may hold it. A statement that commits implicitly, as CREATE TABLE does, was answered with transaction_aborted in the same way. Change: the key decides once COMMIT may have left. BEGIN on a connection that gives no answer for the silence timeout is run again on a new one, within the retry budget, so that silent connections do not cost the whole deadline. Before: replaced.feature with the flags removed on a scratch copy fails in the rows COMMIT and CREATE.

--- a/chivescale/pipeline/_keyed.py
+++ b/chivescale/pipeline/_keyed.py
@@ -13,10 +13,12 @@
     confirm,
     confirm_position,
     connect_primary,
+    run_begin,
     was_refused,
     watch_term,
 )
 from chivescale.retry import backoff_s
+from chivescale.routing import may_commit
 from chivescale.session import (
     CREATE_REQUEST_TABLE,
     StatementKey,
@@ -61,9 +63,10 @@
 ) -> Answer | None:
     """Run one attempt; None asks for another one."""
     connection = primary.connection
+    progress = _Progress()
     try:
         outcome = await watch_term(
-            call, primary, _transaction(call, key, primary)
+            call, primary, _transaction(call, key, primary, progress)
         )
     finally:
         if connection.in_transaction:
@@ -75,16 +78,26 @@
         return await _finish(call, key, primary, outcome)
     if outcome.errno == DUPLICATE_ERRNO and outcome.reason == _CLAIM:
         return await lookup(call, key)
-    if outcome.kind is ErrorKind.OUTCOME_UNKNOWN:
+    if outcome.kind is ErrorKind.TIMEOUT and progress.commit_sent:
+        # Also when the primary was replaced before it answered COMMIT.
         return await resolve_commit(call, key, primary)
     if outcome.errno in LOCKED_ERRNOS or was_refused(outcome):
         return None
     if outcome.kind is ErrorKind.TIMEOUT:
         # COMMIT was not sent, so the endpoint rolls back.
+        if not progress.begun and time.monotonic() < call.deadline:
+            return None
         return Failure(ErrorKind.DID_NOT_RUN, outcome.reason)
     return outcome
 
 
+class _Progress:
+    """How far the transaction of a keyed write came."""
+
+    begun = False
+    commit_sent = False
+
+
 _CLAIM = "key is already recorded"
 
 
@@ -95,7 +108,9 @@
     return answer
 
 
-async def _transaction(call, key: StatementKey, primary: Primary) -> Answer:
+async def _transaction(
+    call, key: StatementKey, primary: Primary, progress: _Progress
+) -> Answer:
     """Record the key, run the statement, store its result, commit."""
 
     async def run(sql: str) -> Answer:
@@ -108,12 +123,14 @@
             call.environment.metrics.observe_queue,
         )
 
-    begun = await run("BEGIN")
+    begun = await run_begin(call, primary, "BEGIN")
     if is_failure(begun):
         return begun
+    progress.begun = True
     claimed = await claim(run, key)
     if is_failure(claimed):
         return claimed
+    progress.commit_sent = may_commit(call.sql)
     result = await run(call.sql)
     if is_failure(result):
         await run("ROLLBACK")
@@ -123,7 +140,12 @@
     )
     if is_failure(stored):
         return stored
-    return await _commit(run, result)
+    progress.commit_sent = True
+    committed = await run("COMMIT")
+    if is_failure(committed):
+        return committed
+    result.commit = committed.commit
+    return result
 
 
 async def claim(run, key: StatementKey) -> Answer:
@@ -149,16 +171,6 @@
     return is_failure(answer) and answer.reason == _CLAIM
 
 
-async def _commit(run, result: QueryResult) -> Answer:
-    committed = await run("COMMIT")
-    if not is_failure(committed):
-        result.commit = committed.commit
-        return result
-    if committed.kind is ErrorKind.TIMEOUT:
-        return Failure(ErrorKind.OUTCOME_UNKNOWN, committed.reason)
-    return committed
-
-
 async def lookup(call: Call, key: StatementKey) -> Answer | None:
     """Return the recorded result of a key, once it is proven to last.
 
--- a/chivescale/pipeline/_primary.py
+++ b/chivescale/pipeline/_primary.py
@@ -9,7 +9,7 @@
 from chivescale.messages import Position
 from chivescale.mysql import ClientConnection, QueryResult
 from chivescale.pipeline._call import Answer, Call
-from chivescale.pipeline._gate import EndpointGate
+from chivescale.pipeline._gate import EndpointGate, run_statement
 from chivescale.retry import backoff_s
 from chivescale.session import Confirmed, ProvedAbsent
 
@@ -140,6 +140,38 @@
             await asyncio.wait({task})
 
 
+async def run_begin(call: Call, primary: Primary, sql: str) -> Answer:
+    """Run BEGIN; give up a connection that seems to be silent.
+
+    BEGIN has no effect that repeating it could double. A slow endpoint looks
+    like a silent connection, so giving up draws on the retry budget. Time in
+    the queue of the gate does not count: the connection is still usable then.
+    """
+    connection = primary.connection
+    task = asyncio.ensure_future(
+        run_statement(
+            primary.gate,
+            connection,
+            call.session.workspace,
+            sql,
+            call.deadline,
+            call.environment.metrics.observe_queue,
+        )
+    )
+    silence_s = call.environment.pool.silence_timeout_ms / 1000
+    try:
+        await asyncio.wait({task}, timeout=silence_s)
+        left_s = call.deadline - time.monotonic()
+        if not task.done() and not connection.usable and left_s > silence_s:
+            if call.environment.retries.try_retry():
+                return Failure(ErrorKind.TIMEOUT, "connection went silent")
+        return await task
+    finally:
+        if not task.done():
+            task.cancel()
+            await asyncio.wait({task})
+
+
 async def confirm(call: Call, result: QueryResult, term: int) -> Answer:
     """Acknowledge a result only once it is proven to last.
 
--- a/chivescale/pipeline/_transaction.py
+++ b/chivescale/pipeline/_transaction.py
@@ -18,10 +18,15 @@
     Primary,
     confirm,
     connect_primary,
+    run_begin,
     was_refused,
     watch_term,
 )
-from chivescale.routing import StatementClass, transaction_modes
+from chivescale.routing import (
+    StatementClass,
+    may_commit,
+    transaction_modes,
+)
 
 # The endpoint reports these when it has rolled the transaction back.
 MAX_DIGEST_STATEMENTS = 1000
@@ -42,10 +47,13 @@
         primary = await _current_primary(call)
         if is_failure(primary):
             return primary
-        answer = await _run(call, primary, sql)
+        started = run_begin(call, primary, sql)
+        answer = await watch_term(call, primary, started)
         if not is_failure(answer):
             _pin(call, primary)
             return answer
+        if answer.kind is ErrorKind.TIMEOUT:
+            primary.gate.pool.suspect_silence()
         _drop(primary)
         # BEGIN has no effect that could be repeated.
         again = was_refused(answer) or answer.kind is ErrorKind.TIMEOUT
@@ -134,6 +142,9 @@
     if connection.usable and connection.in_transaction:
         # Refused by the gate; the transaction is intact.
         return failure
+    if failure.kind is ErrorKind.TIMEOUT and may_commit(call.sql):
+        close_transaction(call.state, call.session)
+        return Failure(ErrorKind.OUTCOME_UNKNOWN, failure.reason)
     return abort(call, failure.reason)
 
 
--- a/chivescale/routing/__init__.py
+++ b/chivescale/routing/__init__.py
@@ -9,7 +9,11 @@
 from chivescale.routing._hints import Hints, parse_hints
 from chivescale.routing._local import LocalAnswer, SessionFacts, local_answer
 from chivescale.routing._set import parse_set
-from chivescale.routing._transaction import TransactionModes, transaction_modes
+from chivescale.routing._transaction import (
+    TransactionModes,
+    may_commit,
+    transaction_modes,
+)
 
 __all__ = [
     "Candidate",
@@ -22,6 +26,7 @@
     "choose_endpoint",
     "classify",
     "local_answer",
+    "may_commit",
     "needs_session",
     "parse_hints",
     "parse_set",
--- a/chivescale/routing/_transaction.py
+++ b/chivescale/routing/_transaction.py
@@ -4,6 +4,13 @@
 
 from chivescale.routing._text import skeleton
 
+# Statements that leave an open transaction open. Any other one may commit
+# it, as statements that change the schema do.
+_KEEPS_OPEN = frozenset(
+    "SELECT INSERT UPDATE DELETE REPLACE WITH VALUES TABLE SAVEPOINT RELEASE"
+    " ROLLBACK SHOW EXPLAIN DESCRIBE DESC".split()
+)
+
 
 class TransactionModes(msgspec.Struct, frozen=True):
     """Modes of BEGIN, START TRANSACTION, COMMIT and ROLLBACK.
@@ -36,3 +43,17 @@
         read_only=" READ ONLY " in text,
         chain=" AND CHAIN " in text,
     )
+
+
+def may_commit(sql: str) -> bool:
+    """Tell whether a statement may commit the open transaction.
+
+    Examples
+    --------
+    >>> may_commit("insert into t values (1)")
+    False
+    >>> may_commit("/* x */ CREATE TABLE t (id INT)")
+    True
+    """
+    words = skeleton(sql).lstrip("( ").split(maxsplit=1)
+    return not words or words[0] not in _KEEPS_OPEN
