--- a/tools/soak.py
+++ b/tools/soak.py
@@ -18,7 +18,8 @@
 DRIVERS = {
     "chivescale.agreement.tests.random_runs": 200,
     "chivescale.failover.tests.failover_driver": 40,
-    "chivescale.session.tests.random_runs": 200,
+    "chivescale.session.tests.random_run": 1200,
+    "chivescale.limits.tests.random_limits": 200,
     "chivescale.entry.tests.random_system": 30,
 }
 MAX_SEED = 1 << 30
