--- a/chivescale/entry/_heartbeat.py
+++ b/chivescale/entry/_heartbeat.py
@@ -73,9 +73,13 @@
     calls: LeaderCalls,
     interval_s: float,
     build: collections.abc.Callable[[], Heartbeat],
-    receive: collections.abc.Callable[[HeartbeatReply], None],
+    receive: collections.abc.Callable[[HeartbeatReply, float], None],
 ) -> None:
-    """Send a heartbeat every `interval_s` until cancelled."""
+    """Send a heartbeat every `interval_s` until cancelled.
+
+    `receive` gets the reply and when its heartbeat was sent, in monotonic
+    seconds.
+    """
     while True:
         started = time.monotonic()
         reply = await calls.call(
@@ -86,6 +90,6 @@
             started + 2 * interval_s,
         )
         if reply is not None and not is_failure(reply):
-            receive(reply)
+            receive(reply, started)
         elapsed = time.monotonic() - started
         await asyncio.sleep(max(0.0, interval_s - elapsed))
--- a/chivescale/entry/_host.py
+++ b/chivescale/entry/_host.py
@@ -14,6 +14,7 @@
 from chivescale.entry._services import Services
 from chivescale.entry._watch import StateWatch
 from chivescale.errors import ErrorKind, Failure, is_failure
+from chivescale.limits import HOST_LEASE_SHARE
 from chivescale.messages import Heartbeat, HeartbeatReply, HostRecord
 from chivescale.pipeline import Environment
 from chivescale.retry import RetryBudget
@@ -199,8 +200,11 @@
             self.services.wanted(),
         )
 
-    def _heard(self, reply: HeartbeatReply) -> None:
-        self.services.apply_leases(reply.leases, reply.lease_ms / 1000)
+    def _heard(self, reply: HeartbeatReply, sent_at: float) -> None:
+        # The leader counts the lease from a later moment than the sending
+        # of the heartbeat, so this host gives it up first.
+        until = sent_at + HOST_LEASE_SHARE * reply.lease_ms / 1000
+        self.services.apply_leases(reply.leases, until)
         self.watch.note_index(reply.index)
 
     def status(self) -> EntryStatus:
--- a/chivescale/entry/_services.py
+++ b/chivescale/entry/_services.py
@@ -147,9 +147,9 @@
             for gate in self.gates()
         )
 
-    def apply_leases(self, leases: tuple[Lease, ...], lease_s: float) -> None:
-        """Set the limits of the pools to the granted leases."""
-        self.leased_until = time.monotonic() + lease_s
+    def apply_leases(self, leases: tuple[Lease, ...], until: float) -> None:
+        """Set the limits of the pools to leases that end at `until`."""
+        self.leased_until = until
         granted = {lease.endpoint: lease.connections for lease in leases}
         floor = self.settings.floor_connections
         for gate in self.gates():
--- a/chivescale/pipeline/_primary.py
+++ b/chivescale/pipeline/_primary.py
@@ -9,13 +9,10 @@
 from chivescale.messages import Position
 from chivescale.mysql import ClientConnection, QueryResult
 from chivescale.pipeline._call import Answer, Call
-from chivescale.pipeline._gate import EndpointGate
-from chivescale.retry import backoff_s
+from chivescale.pipeline._gate import EndpointGate, run_statement
+from chivescale.retry import Attempt, Request, backoff_s, may_resend
 from chivescale.session import Confirmed, ProvedAbsent
 
-# Refused before execution: too many connections, server read-only, server
-# shutting down.
-REFUSED_ERRNOS = frozenset({1040, 1053, 1290, 1836})
 # After a newer term is published, an answer already on its way gets this
 # long before the connection to the replaced primary is closed.
 REPLACED_GRACE_S = 0.05
@@ -162,6 +159,38 @@
         gate.pool.suspect_silence()
 
 
+async def run_begin(call: Call, primary: Primary, sql: str) -> Answer:
+    """Run BEGIN; give up a connection that seems to be silent.
+
+    BEGIN has no effect that repeating it could double. A slow endpoint looks
+    like a silent connection, so giving up draws on the retry budget. Time in
+    the queue of the gate does not count: the connection is still usable then.
+    """
+    connection = primary.connection
+    task = asyncio.ensure_future(
+        run_statement(
+            primary.gate,
+            connection,
+            call.session.workspace,
+            sql,
+            call.deadline,
+            call.environment.metrics.observe_queue,
+        )
+    )
+    silence_s = call.environment.pool.silence_timeout_ms / 1000
+    try:
+        await asyncio.wait({task}, timeout=silence_s)
+        left_s = call.deadline - time.monotonic()
+        if not task.done() and not connection.usable and left_s > silence_s:
+            if call.environment.retries.try_retry():
+                return Failure(ErrorKind.TIMEOUT, "connection went silent")
+        return await task
+    finally:
+        if not task.done():
+            task.cancel()
+            await asyncio.wait({task})
+
+
 async def confirm(call: Call, result: QueryResult, term: int) -> Answer:
     """Acknowledge a result only once it is proven to last.
 
@@ -215,6 +244,11 @@
 
 def was_refused(failure: Failure) -> bool:
     """Tell whether a statement was provably not executed."""
-    if failure.kind is ErrorKind.STATEMENT_FAILED:
-        return failure.errno in REFUSED_ERRNOS
-    return failure.kind in (ErrorKind.UNREACHABLE, ErrorKind.STALE_TERM)
+    attempt = Attempt(
+        Request.WRITE,
+        failure.kind,
+        bytes_sent=failure.kind is ErrorKind.TIMEOUT,
+        deadline=float("inf"),
+        errno=failure.errno,
+    )
+    return may_resend(attempt, 0.0)
--- a/chivescale/pipeline/_read.py
+++ b/chivescale/pipeline/_read.py
@@ -9,7 +9,7 @@
 from chivescale.messages import Position
 from chivescale.pipeline._call import Answer, Call
 from chivescale.pipeline._gate import EndpointGate, run_statement
-from chivescale.retry import backoff_s
+from chivescale.retry import Attempt, Request, backoff_s, may_resend
 from chivescale.routing import Candidate, Need, choose_endpoint
 from chivescale.session import Token, parse_token
 
@@ -20,12 +20,6 @@
 REPLICA_WAIT_S = 0.03
 # A replica that did not catch up in time is not waited for again this long.
 BEHIND_S = 1.0
-_ELSEWHERE = {
-    ErrorKind.TIMEOUT,
-    ErrorKind.UNREACHABLE,
-    ErrorKind.OVERLOADED,
-}
-_REFUSED_ERRNOS = {1040, 1053}
 
 
 class _Plan(msgspec.Struct):
@@ -242,11 +236,16 @@
     if failure.kind is ErrorKind.FRESHNESS_UNPROVED:
         # Waiting for replication or a new term costs the endpoints nothing.
         return True
-    elsewhere = failure.kind in _ELSEWHERE or (
-        failure.kind is ErrorKind.STATEMENT_FAILED
-        and failure.errno in _REFUSED_ERRNOS
+    failed = Attempt(
+        Request.READ,
+        failure.kind,
+        bytes_sent=True,
+        deadline=call.deadline,
+        errno=failure.errno,
     )
-    return elsewhere and call.environment.retries.try_retry()
+    if not may_resend(failed, time.monotonic()):
+        return False
+    return call.environment.retries.try_retry()
 
 
 def _as_read_failure(failure: Failure) -> Failure:
