--- a/chivescale/agreement/tests/steps/agreement_steps.py
+++ b/chivescale/agreement/tests/steps/agreement_steps.py
@@ -120,6 +120,29 @@
         context.world.crash(host.name)
 
 
+@when("members {names} crash right after the next answer")
+def crash_after_answer(context, names):
+    # Answers to heartbeats acknowledge no entry.
+    last = context.world.leader().machine.log.last_index
+    for host in _named(context, names):
+        host.crash_after = lambda message: (
+            isinstance(message, ag.AppendReply) and message.match_index > last
+        )
+
+
+@when("a command is acknowledged by the leader")
+def command_acknowledged(context):
+    world = context.world
+    (command,) = world.propose()
+    assert world.run(1.0, lambda: command in world.acknowledged)
+
+
+@when("members {names} are started")
+def start_members(context, names):
+    for host in _named(context, names):
+        context.world.start(host.name)
+
+
 @when("members {names} lose their disks and restart")
 def lose_disks(context, names):
     for host in _named(context, names):
@@ -149,6 +172,29 @@
     return found is not None and found.voter
 
 
+@when("a host c5 that names all members is started and admitted")
+def add_member(context):
+    context.world.add_host("c5", (*NAMES, "c5"))
+    replace_members(context, "c5")
+
+
+@when("member follower is removed")
+def remove_member(context):
+    world, name = context.world, context.roles["follower"]
+    # The change before has to be committed first.
+    world.run(0.2)
+    world.change(ag.RemoveMember, name)
+    world.names = tuple(n for n in (*NAMES, "c5") if n != name)
+    world.run(1.0)
+
+
+@then("the group has {count:d} voters, c5 among them")
+def group_has_voters(context, count):
+    voters = context.world.leader().machine.configuration.voters
+    assert {member.name for member in voters} == set(context.world.names)
+    assert len(voters) == count
+
+
 @when("the leader is isolated")
 def isolate_leader(context):
     context.world.isolate(context.roles["leader"])
@@ -157,6 +203,9 @@
 @when("members follower are cut off in direction {direction}")
 def cut_off(context, direction):
     world, name = context.world, context.roles["follower"]
+    if direction == "from leader":
+        world.cuts.add((context.roles["leader"], name))
+        return
     for other in set(NAMES) - {name}:
         if direction in ("both", "in"):
             world.cuts.add((other, name))
@@ -208,7 +257,9 @@
 
 @then("no member leads")
 def nobody_leads(context):
-    assert context.world.leader() is None
+    machines = [host.machine for host in context.world.hosts.values()]
+    roles = [machine.role for machine in machines if machine is not None]
+    assert ag.Role.LEADER not in roles, roles
 
 
 @then("a member leads within {seconds:g} s")
--- a/chivescale/session/_barriers.py
+++ b/chivescale/session/_barriers.py
@@ -3,7 +3,16 @@
 import msgspec
 
 from chivescale.errors import ErrorKind, Failure
-from chivescale.messages import EndpointStatus, Position
+from chivescale.messages import EndpointStatus
+from chivescale.session._barrier_events import (
+    BarrierFailed,
+    BarrierReady,
+    Join,
+    StartRound,
+    StatusFailed,
+    StatusReceived,
+    TermChanged,
+)
 from chivescale.session._quorum import quorum_of
 
 # The primary is asked only if the replicas have not formed a quorum by then,
@@ -16,95 +25,13 @@
 MAX_ROUNDS = 2
 
 
-class Join(msgspec.Struct, frozen=True):
-    """A read arrived that needs a barrier."""
-
-    read_id: int
-    deadline: float
-
-
-class StatusReceived(msgspec.Struct, frozen=True):
-    """An endpoint answered the question of a round."""
-
-    round: int
-    endpoint: str
-    status: EndpointStatus
-
-
-class StatusFailed(msgspec.Struct, frozen=True):
-    """An endpoint cannot be asked in a round."""
-
-    round: int
-    endpoint: str
-
-
-class TermChanged(msgspec.Struct, frozen=True):
-    """An established term was published; lower terms are ignored."""
-
-    voters: tuple[str, ...]
-    incarnations: tuple[str, ...]
-    primary: str
-    term: int
-
-
-class Tick(msgspec.Struct, frozen=True):
-    """Time passed; needed at `wake_at` of a state machine."""
-
-
-class StartRound(msgspec.Struct, frozen=True):
-    """Ask `endpoints` for their status, without a long poll.
-
-    Emitted again with the same `round` when more endpoints join it.
-
-    Attributes
-    ----------
-    fresh : bool
-        Whether to use new connections, since open ones may hang.
-    """
-
-    round: int
-    endpoints: tuple[str, ...]
-    fresh: bool = False
-
-
-class BarrierReady(msgspec.Struct, frozen=True):
-    """Reads may run at or above `position`.
-
-    Attributes
-    ----------
-    read_ids : tuple of int
-        Reads that arrived before the round was sent.
-    sent_at : float
-        When the round was sent, in monotonic seconds: the sample time for
-        `Freshness`.
-    promised_term : int
-        Highest promised term of the answers; the read must not run on an
-        endpoint that promised less.
-    holders : tuple of str
-        Endpoints whose answer is at or above `position` and that promised
-        `promised_term`.
-    """
-
-    read_ids: tuple[int, ...]
-    sent_at: float
-    promised_term: int
-    position: Position
-    holders: tuple[str, ...]
-
-
-class BarrierFailed(msgspec.Struct, frozen=True):
-    """No barrier for these reads: NO_QUORUM or FRESHNESS_UNPROVED."""
-
-    read_ids: tuple[int, ...]
-    failure: Failure
-
-
 class _Round(msgspec.Struct):
     sent_at: float
     reads: set[int]
     asked: set[str]
     answers: dict[str, EndpointStatus] = {}
     failed: set[str] = set()
+    fresh: bool = False
 
 
 class Barriers:
@@ -162,11 +89,12 @@
             times.append(self.hold_until)
         for round_ in self.rounds.values():
             times.append(round_.sent_at + self.round_timeout_s)
-            if self.term.primary not in round_.asked:
+            if self._primary_unasked(round_):
                 times.append(round_.sent_at + self.primary_after_s)
         if len(self.rounds) == 1:
             (only,) = self.rounds.values()
-            times.append(only.sent_at + self.hang_s)
+            if self.waiting or not only.fresh:
+                times.append(only.sent_at + self.hang_s)
         return min(times, default=None)
 
     def step(self, event, now: float) -> list:
@@ -202,12 +130,17 @@
 
     def _answer(self, event: StatusReceived) -> None:
         round_ = self.rounds.get(event.round)
+        counts = self._counts(event.endpoint, event.status)
+        if counts:
+            # Also with a late answer: otherwise a replica that answers just
+            # after the primary would count as slow for good, and barriers
+            # with the primary are ahead of the replicas.
+            self.slow.discard(event.endpoint)
         if round_ is None:
             return
-        if not self._counts(event.endpoint, event.status):
+        if not counts:
             round_.failed.add(event.endpoint)
             return
-        self.slow.discard(event.endpoint)
         round_.failed.discard(event.endpoint)
         round_.answers[event.endpoint] = event.status
 
@@ -310,7 +243,8 @@
             and answers[name].promised_term >= promised
         )
         reads = tuple(sorted(round_.reads))
-        self.slow |= round_.asked - set(answers) - {self.term.primary}
+        if now >= round_.sent_at + self.primary_after_s:
+            self.slow |= round_.asked - set(answers) - {self.term.primary}
         self._finish(reads)
         effects.append(
             BarrierReady(reads, round_.sent_at, promised, position, holders)
@@ -329,9 +263,9 @@
             effects.append(BarrierFailed(reads, failure))
 
     def _widen(self, number, round_, now, effects) -> None:
-        primary = self.term.primary
-        if primary in round_.asked or primary not in self.term.voters:
+        if not self._primary_unasked(round_):
             return
+        primary = self.term.primary
         due = now >= round_.sent_at + self.primary_after_s
         replicas = [
             name
@@ -342,9 +276,13 @@
             round_.asked.add(primary)
             effects.append(StartRound(number, (primary,)))
 
+    def _primary_unasked(self, round_: _Round) -> bool:
+        primary = self.term.primary
+        return primary in self.term.voters and primary not in round_.asked
+
     def _start(self, now: float, effects: list) -> None:
         if self.unknown_term:
-            if now < self.hold_until or self.rounds:
+            if now < self.hold_until:
                 return
         elif not self.term.voters:
             return
@@ -355,14 +293,17 @@
             return
         reads = set(self.waiting)
         for round_ in hanging:
-            reads |= round_.reads
+            # A round on fresh connections is not replaced again; its reads
+            # fail when it times out.
+            if not round_.fresh:
+                reads |= round_.reads
         if not reads:
             return
         self.waiting = []
         self.last_round += 1
         number = self.last_round
         replicas = {v for v in self.term.voters if v != self.term.primary}
-        round_ = _Round(now, reads, replicas, {}, set())
+        round_ = _Round(now, reads, replicas, fresh=bool(hanging))
         self.rounds[number] = round_
         asked = tuple(v for v in self.term.voters if v in replicas)
         if asked:
--- a/chivescale/session/_freshness.py
+++ b/chivescale/session/_freshness.py
@@ -8,6 +8,10 @@
 
 MAX_SAMPLES = 512
 MAX_SAMPLE_AGE_S = 60.0
+# Distance of samples as a share of their age, which bounds the error of a
+# proven age. From 2 ms to 60 s about 350 samples are enough.
+RELATIVE_SPACING = 0.03
+MIN_SPACING_S = 0.002
 
 
 class _Known(msgspec.Struct):
@@ -68,11 +72,24 @@
             del self.sent_at[:old]
             del self.positions[:old]
         if len(self.sent_at) > self.max_samples:
-            # Thin out the older half, so that a burst of barriers does not
-            # displace the samples that lagging replicas depend on.
-            half = self.max_samples // 2
-            del self.sent_at[1:half:2]
-            del self.positions[1:half:2]
+            self._thin(now)
+
+    def _thin(self, now: float) -> None:
+        """Keep samples at distances that grow with their age.
+
+        Keeping the newest only would let a burst of barriers displace the
+        samples that lagging replicas depend on.
+        """
+        kept = [len(self.sent_at) - 1]
+        for index in range(len(self.sent_at) - 2, -1, -1):
+            sent_at = self.sent_at[index]
+            gap = max(MIN_SPACING_S, RELATIVE_SPACING * (now - sent_at))
+            if self.sent_at[kept[-1]] - sent_at >= gap:
+                kept.append(index)
+        # Leave room, so that thinning is not needed for every sample.
+        kept = kept[: self.max_samples * 3 // 4][::-1]
+        self.sent_at = [self.sent_at[index] for index in kept]
+        self.positions = [self.positions[index] for index in kept]
 
     def record_status(
         self,
@@ -131,6 +148,15 @@
         known = self.known.get(endpoint)
         return known.last if known else None
 
+    def incarnation(self, endpoint: str) -> str | None:
+        """Return the incarnation that the knowledge of an endpoint is of.
+
+        A read must run on a connection to this incarnation: an endpoint
+        that lost its data has a new one.
+        """
+        known = self.known.get(endpoint)
+        return known.incarnation if known else None
+
     def promised_ok(self, endpoint: str, promised_term: int = 0) -> bool:
         """Tell whether an endpoint promised the highest known term.
 
@@ -203,4 +229,12 @@
         return found
 
     def _is_primary(self, endpoint: str) -> bool:
-        return self.record is not None and self.record.primary == endpoint
+        record = self.record
+        if record is None or record.primary != endpoint:
+            return False
+        known = self.known.get(endpoint)
+        if known is None:
+            return True
+        # A primary that lost its data no longer holds its term's log.
+        members = zip(record.voters, record.incarnations, strict=True)
+        return (endpoint, known.incarnation) in members
--- a/chivescale/state/_image.py
+++ b/chivescale/state/_image.py
@@ -62,13 +62,14 @@
             ("host", self.hosts, "host"),
             ("endpoint", self.endpoints, "endpoint"),
         ):
-            for index, record in rows:
+            # A table keeps the order of the changes.
+            for index, record in sorted(rows, key=lambda row: row[0]):
                 name = getattr(record, field)
                 state.tables[kind].put(name, record, index)
 
 
 def _rows(table) -> tuple:
+    """Return (index of the last change, record), ascending by index."""
     return tuple(
-        (table.changed[name], table.records[name])
-        for name in sorted(table.records)
+        (index, table.records[name]) for name, index in table.changed.items()
     )
