--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -29,6 +29,12 @@
     parser.add_argument("names", nargs="*", metavar="NAME", help=str(NAMES))
     parser.add_argument("--quick", action="store_true", help="trial run")
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument(
+        "--part",
+        default="",
+        metavar="TEXT",
+        help="only the parts whose name starts with TEXT (failover, reads)",
+    )
     parser.add_argument("--out", type=pathlib.Path, metavar="FOLDER")
     options = parser.parse_args(arguments)
     unknown = set(options.names) - set(NAMES)
@@ -44,6 +50,7 @@
         started = time.monotonic()
         try:
             with Recorder(path, name, options.quick, options.seed) as recorder:
+                recorder.part = options.part
                 module.run(recorder, out)
         except Exception:  # the other benchmarks still run
             failed += 1
--- a/benchmarks/failover.py
+++ b/benchmarks/failover.py
@@ -62,6 +62,9 @@
     need = QUICK_FAILOVERS if quick else FULL_FAILOVERS
     gaps = {}
     for name, kinds, overrides in _series(quick):
+        kinds = [k for k in kinds if f"{name}.{k}".startswith(recorder.part)]
+        if not kinds:
+            continue
         profile = name.partition(".")[0]
         plan = msgspec.structs.replace(PROFILES[profile], overrides=overrides)
         delay_ms = CALLER_DELAY_MS[profile]
--- a/benchmarks/reads.py
+++ b/benchmarks/reads.py
@@ -170,7 +170,7 @@
         measured = share(by_role["replica"], sum(by_role.values()))
         ideal = share(possible, len(good))
         asked = counts.get(
-            'chivescale_control_messages_total{direction="sent"}', math.nan
+            'chivescale_control_messages_total{direction="out"}', math.nan
         )
         latencies = [(item.end - item.start) * 1000 for item in good]
         figures = {
--- a/benchmarks/records.py
+++ b/benchmarks/records.py
@@ -43,6 +43,8 @@
         self.name = name
         self.quick = quick
         self.seed = seed
+        # Prefix of the only parts to run; empty for all.
+        self.part = ""
         self.rows: list[dict] = []
         self.figures: dict[str, float] = {}
 
