Do not wake a full pool for an attempt that it may not make

Ruled out: the virtual clock, which advances on every turn. Change: that time counts only while another connection may be opened. Before: the new scenario fails (the wake-up lies in the past); after: passes. Conclusion: the same loop would have taken a whole core of a real entry host after a lease shrank while the endpoint was full.

--- a/chivescale/pool/_state.py
+++ b/chivescale/pool/_state.py
@@ -172,7 +172,8 @@
         times = [deadline for deadline, _ in self.deadlines[:1]]
         if self.idle:
             times.append(next(iter(self.idle.values())) + self.idle_s)
-        if self.queued and self.failures and not self.opening:
+        may_open = not self.closed and self.held < self.limit
+        if self.queued and self.failures and not self.opening and may_open:
             times.append(self.retry_at)
         return min(times, default=None)
 
--- a/chivescale/pool/tests/pool.feature
+++ b/chivescale/pool/tests/pool.feature
@@ -74,3 +74,11 @@
     When the pool closes while a request waits
     Then the request ends with unreachable
     And the busy connection closes when released
+
+  Scenario: A pool at its limit does not ask to be woken for an open attempt
+    Guards against a loop that spins: the time of the next attempt lay in the
+    past while the limit allowed none.
+    Given a pool state with limit 2 and 1 busy connections
+    When an attempt is refused by the full endpoint while a request waits
+    And the limit falls to 1 and 5 s pass
+    Then the next wake-up lies in the future
--- a/chivescale/pool/tests/steps/state_steps.py
+++ b/chivescale/pool/tests/steps/state_steps.py
@@ -261,3 +261,24 @@
         order.append(context.owners[give.ticket])
         number = give.connection
     assert order == names.split(", "), order
+
+
+@when("an attempt is refused by the full endpoint while a request waits")
+def attempt_overloaded(context):
+    _step(context, pool.Acquire(900, "a", context.now + 60.0))
+    (attempt,) = _effects(context.effects, pool.Open)
+    failure = Failure(ErrorKind.OVERLOADED, "test")
+    _step(context, pool.ConnectFailed(attempt.connection, failure))
+    assert context.state.queued == 1
+
+
+@when("the limit falls to {limit:d} and {seconds:d} s pass")
+def limit_falls(context, limit, seconds):
+    _step(context, pool.SetLimit(limit))
+    context.now += seconds
+    _step(context, pool.Tick())
+
+
+@then("the next wake-up lies in the future")
+def wakes_later(context):
+    assert context.state.next_time() > context.now
