Send statements to the primary through one function

Cause: the read-through found the same six-argument call in five places of the request path, and dead code beside it. Change: run_on_primary serves writes, keyed writes, lookups, BEGIN and transactions; an unused jitter function, an unused type, an unused set and a wrong comment are gone. Behaviour and tests are unchanged.

--- a/chivescale/pipeline/_gate.py
+++ b/chivescale/pipeline/_gate.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import collections.abc
-import random
 import time
 
 from chivescale.errors import Failure, is_failure
@@ -163,8 +162,3 @@
             not is_failure(answer) or answer.errno != 0
         )
         gate.leave(time.monotonic() - started, ok)
-
-
-def jitter_s(base_s: float, rng: random.Random) -> float:
-    """Return a pause between half of and the whole of `base_s`."""
-    return base_s * (0.5 + rng.random() / 2)
--- a/chivescale/pipeline/_keyed.py
+++ b/chivescale/pipeline/_keyed.py
@@ -7,13 +7,13 @@
 from chivescale.messages import EndpointStatus
 from chivescale.mysql import QueryResult
 from chivescale.pipeline._call import Answer, Call
-from chivescale.pipeline._gate import run_statement
 from chivescale.pipeline._primary import (
     Primary,
     confirm,
     confirm_position,
     connect_primary,
     run_begin,
+    run_on_primary,
     was_refused,
     watch_term,
 )
@@ -114,14 +114,7 @@
     """Record the key, run the statement, store its result, commit."""
 
     async def run(sql: str) -> Answer:
-        return await run_statement(
-            primary.gate,
-            primary.connection,
-            call.session.workspace,
-            sql,
-            call.deadline,
-            call.environment.metrics.observe_queue,
-        )
+        return await run_on_primary(call, primary, sql)
 
     begun = await run_begin(call, primary, "BEGIN")
     if is_failure(begun):
@@ -205,14 +198,7 @@
         return await watch_term(
             call,
             primary,
-            run_statement(
-                primary.gate,
-                primary.connection,
-                call.session.workspace,
-                key.select_sql(),
-                call.deadline,
-                call.environment.metrics.observe_queue,
-            ),
+            run_on_primary(call, primary, key.select_sql()),
         )
     finally:
         primary.gate.pool.release(primary.connection)
--- a/chivescale/pipeline/_primary.py
+++ b/chivescale/pipeline/_primary.py
@@ -159,6 +159,18 @@
         gate.pool.suspect_silence()
 
 
+async def run_on_primary(call: Call, primary: Primary, sql: str) -> Answer:
+    """Run a statement of the call on its connection to the primary."""
+    return await run_statement(
+        primary.gate,
+        primary.connection,
+        call.session.workspace,
+        sql,
+        call.deadline,
+        call.environment.metrics.observe_queue,
+    )
+
+
 async def run_begin(call: Call, primary: Primary, sql: str) -> Answer:
     """Run BEGIN; give up a connection that seems to be silent.
 
@@ -167,16 +179,7 @@
     the queue of the gate does not count: the connection is still usable then.
     """
     connection = primary.connection
-    task = asyncio.ensure_future(
-        run_statement(
-            primary.gate,
-            connection,
-            call.session.workspace,
-            sql,
-            call.deadline,
-            call.environment.metrics.observe_queue,
-        )
-    )
+    task = asyncio.ensure_future(run_on_primary(call, primary, sql))
     silence_s = call.environment.pool.silence_timeout_ms / 1000
     try:
         await asyncio.wait({task}, timeout=silence_s)
--- a/chivescale/pipeline/_transaction.py
+++ b/chivescale/pipeline/_transaction.py
@@ -1,12 +1,10 @@
 """Transactions: one connection from BEGIN to the answer of COMMIT."""
 
-import collections.abc
 import time
 
 from chivescale.errors import ErrorKind, Failure, is_failure
 from chivescale.mysql import QueryResult
 from chivescale.pipeline._call import Answer, Call, CallerState, Pinned
-from chivescale.pipeline._gate import run_statement
 from chivescale.pipeline._keyed import (
     claim,
     is_claimed,
@@ -19,6 +17,7 @@
     confirm,
     connect_primary,
     run_begin,
+    run_on_primary,
     was_refused,
     watch_term,
 )
@@ -28,7 +27,7 @@
     transaction_modes,
 )
 
-# The endpoint reports these when it has rolled the transaction back.
+# Bounds the memory that one open transaction takes for the digest of its key.
 MAX_DIGEST_STATEMENTS = 1000
 
 
@@ -90,14 +89,7 @@
     return await watch_term(
         call,
         primary,
-        run_statement(
-            primary.gate,
-            primary.connection,
-            call.session.workspace,
-            sql,
-            call.deadline,
-            call.environment.metrics.observe_queue,
-        ),
+        run_on_primary(call, primary, sql),
     )
 
 
@@ -259,6 +251,3 @@
     if chain:
         return await begin(call)
     return QueryResult()
-
-
-Run = collections.abc.Callable[[Call], collections.abc.Awaitable[Answer]]
--- a/chivescale/pipeline/_write.py
+++ b/chivescale/pipeline/_write.py
@@ -5,18 +5,16 @@
 
 from chivescale.errors import ErrorKind, Failure, is_failure
 from chivescale.pipeline._call import Answer, Call
-from chivescale.pipeline._gate import run_statement
 from chivescale.pipeline._primary import (
     Primary,
     confirm,
     connect_primary,
+    run_on_primary,
     was_refused,
     watch_term,
 )
 from chivescale.retry import backoff_s
 
-NOT_SENT = frozenset({ErrorKind.OVERLOADED, ErrorKind.DEADLINE_NOT_STARTED})
-
 
 async def write(call: Call) -> Answer:
     """Run a write on the primary and confirm it by a quorum.
@@ -46,14 +44,7 @@
         return await watch_term(
             call,
             primary,
-            run_statement(
-                primary.gate,
-                primary.connection,
-                call.session.workspace,
-                call.sql,
-                call.deadline,
-                call.environment.metrics.observe_queue,
-            ),
+            run_on_primary(call, primary, call.sql),
         )
     finally:
         # The driver gives no answer in time only if the connection is
