--- a/chivescale/agreement/__init__.py
+++ b/chivescale/agreement/__init__.py
@@ -47,9 +47,12 @@
     VoteReply,
     VoteRequest,
 )
+from chivescale.agreement._replication import in_contact
+from chivescale.agreement._roster import Admit, Retire, Roster
 from chivescale.agreement._waiters import Outcome
 
 __all__ = [
+    "Admit",
     "Agreement",
     "AgreementHost",
     "AgreementMessage",
@@ -78,7 +81,9 @@
     "RemoveMember",
     "ReplaceMember",
     "Restore",
+    "Retire",
     "Role",
+    "Roster",
     "SaveSnapshot",
     "Send",
     "Snapshot",
@@ -91,5 +96,6 @@
     "VoteReply",
     "VoteRequest",
     "check_folder",
+    "in_contact",
     "read_folder",
 ]
--- a/chivescale/agreement/_election.py
+++ b/chivescale/agreement/_election.py
@@ -119,7 +119,7 @@
             vote_term=term,
             last_index=machine.log.last_index,
             last_term=machine.log.last_term,
-            address=own.address if own else "",
+            address=own.address if own else machine.address,
             unformed=not machine.formed,
             forming=forming,
         )
@@ -154,7 +154,7 @@
 def _note_seen(machine, request: VoteRequest) -> None:
     """Remember a new incarnation, which a replacement can admit."""
     header = request.header
-    if not request.unformed or not machine.formed:
+    if not machine.formed:
         return
     if machine.configuration.find(header.sender, header.sender_incarnation):
         return
@@ -172,7 +172,9 @@
     """Tell whether the request fits the formation of the group."""
     if not request.unformed:
         return True
-    if machine.formed:
+    if machine.formed or not machine.may_form:
+        return False
+    if machine.initial.find(request.header.sender) is None:
         return False
     if request.pre:
         return True
@@ -253,6 +255,8 @@
 
 
 def _count(machine, now: float) -> None:
+    if not (machine.formed or machine.may_form):
+        return
     won = _has_quorum(machine) if machine.formed else _has_all(machine)
     if not won:
         return
--- a/chivescale/agreement/_host.py
+++ b/chivescale/agreement/_host.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-import time
+import typing
 
 from chivescale.agreement._callbacks import Callbacks
 from chivescale.agreement._durable import DurableLog
@@ -41,10 +41,13 @@
 )
 from chivescale.agreement._peers import Peers
 from chivescale.agreement._waiters import Outcome, Waiters, resolve, until
+from chivescale.clock import now
 from chivescale.errors import ErrorKind, Failure, is_failure
-from chivescale.settings import AgreementSettings, ControlMember
 from chivescale.telemetry import log_event
-from chivescale.transport import Client, Request, Route
+
+if typing.TYPE_CHECKING:
+    from chivescale.settings import AgreementSettings, ControlMember
+    from chivescale.transport import Client, Request, Route
 
 SNAPSHOT_LIMIT_BYTES = 64 << 20
 
@@ -68,19 +71,28 @@
         Owner of the state.
     rng : random.Random, optional
         Source of the random part of election timeouts.
+    address : str, optional
+        Own address, for a host that is not among `members`.
+    may_form : bool, optional
+        Whether this host may take part in forming the group.
     """
 
     def __init__(
         self,
         name: str,
-        members: tuple[ControlMember, ...],
+        members: "tuple[ControlMember, ...]",
         log: DurableLog,
-        client: Client,
-        settings: AgreementSettings,
+        client: "Client",
+        settings: "AgreementSettings",
         callbacks: Callbacks,
         rng: random.Random | None = None,
+        *,
+        address: str = "",
+        may_form: bool = True,
     ):
         self.name = name
+        self.address = address
+        self.may_form = may_form
         self.initial = Configuration(
             tuple(Member(member.name, member.address) for member in members)
         )
@@ -98,6 +110,7 @@
         self.waiters = Waiters()
         self.queue: list[tuple[bytes, asyncio.Future]] = []
         self.timer: asyncio.TimerHandle | None = None
+        self.timer_due: float | None = None
         self.replies: list[AgreementMessage] | None = None
 
     # State.
@@ -145,7 +158,13 @@
             log_event("agreement_stopped", "error", reason=recovered.reason)
             return recovered
         self.machine = Agreement(
-            self.name, self.initial, recovered, self.timing, self.rng
+            self.name,
+            self.initial,
+            recovered,
+            self.timing,
+            self.rng,
+            address=self.address,
+            may_form=self.may_form,
         )
         self._step(Tick())
         return self.failure
@@ -158,8 +177,10 @@
         await self.peers.close()
         self.log.close()
 
-    def routes(self) -> list[Route]:
+    def routes(self) -> "list[Route]":
         """Return what the control interface serves for the group."""
+        from chivescale.transport import Route
+
         return [
             Route(
                 "POST",
@@ -198,7 +219,7 @@
         """Like `propose`; also returns the result of the apply."""
         if self.failure is not None:
             return self.failure
-        if time.monotonic() >= deadline:
+        if now() >= deadline:
             return Failure(ErrorKind.DEADLINE_NOT_STARTED, "deadline passed")
         future = asyncio.get_running_loop().create_future()
         self.queue.append((command, future))
@@ -259,11 +280,17 @@
 
     # Messages.
 
-    async def _on_request(self, request: Request):
+    async def _on_request(self, request: "Request"):
+        return self.receive(request.body)
+
+    def receive(self, message: AgreementMessage) -> AgreementMessage | Failure:
+        """Handle the message of another member; return the answer."""
         if self.machine is None:
             return Failure(ErrorKind.NOT_READY, f"{self.name} is starting")
+        if self.failure is not None:
+            return self.failure
         self.replies = replies = []
-        self._step(Received(request.body))
+        self._step(Received(message))
         self.replies = None
         if self.failure is not None:
             return self.failure
@@ -290,7 +317,7 @@
     def _handle(self, event: Event) -> list[Event]:
         """Execute the effects of an event; return the events they cause."""
         following = []
-        for effect in self.machine.step(event, time.monotonic()):
+        for effect in self.machine.step(event, now()):
             caused = self._execute(effect)
             if self.failure is not None:
                 break
@@ -306,11 +333,12 @@
             return
         due = self.machine.next_wakeup()
         if self.timer is not None:
-            if self.timer.when() == due and not self.timer.cancelled():
+            if self.timer_due == due and not self.timer.cancelled():
                 return
             self.timer.cancel()
         loop = asyncio.get_running_loop()
-        self.timer = loop.call_at(due, self._on_timer)
+        self.timer_due = due
+        self.timer = loop.call_later(max(0.0, due - now()), self._on_timer)
 
     def _on_timer(self) -> None:
         self.timer = None
--- a/chivescale/agreement/_machine.py
+++ b/chivescale/agreement/_machine.py
@@ -64,6 +64,10 @@
         Durations.
     rng : random.Random
         Source of the random part of election timeouts.
+    address : str, optional
+        Own address; needed by a member that `initial` does not name.
+    may_form : bool, optional
+        Whether this member may take part in forming the group.
     """
 
     def __init__(
@@ -73,8 +77,15 @@
         recovered: Recovered,
         timing: Timing,
         rng: random.Random,
+        *,
+        address: str = "",
+        may_form: bool = True,
     ):
         self.name = name
+        self.address = address
+        # A member that starts without its disk, or that the initial
+        # configuration does not name, must not form a second group.
+        self.may_form = may_form and initial.find(name) is not None
         self.incarnation = recovered.incarnation
         self.identity = f"{name}/{recovered.incarnation}"
         self.initial = initial
--- a/chivescale/agreement/_peers.py
+++ b/chivescale/agreement/_peers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import typing
 
 import msgspec
 
@@ -13,7 +14,9 @@
 )
 from chivescale.errors import ErrorKind, is_failure
 from chivescale.telemetry import log_event
-from chivescale.transport import Client
+
+if typing.TYPE_CHECKING:
+    from chivescale.transport import Client
 
 SNAPSHOT_TIMEOUT_S = 5.0
 # Transfer time that a batch is given beyond the usual timeout; 10 MB/s is
@@ -54,7 +57,7 @@
 
     def __init__(
         self,
-        client: Client,
+        client: "Client",
         timing: Timing,
         on_event: collections.abc.Callable[[Event], None],
     ):
--- a/chivescale/agreement/_waiters.py
+++ b/chivescale/agreement/_waiters.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from chivescale.agreement._messages import Entry
+from chivescale.clock import now
 from chivescale.errors import ErrorKind, Failure
 
 
@@ -111,7 +112,7 @@
 async def until(future: asyncio.Future, deadline: float, late: Failure):
     """Wait for a future; return `late` at the deadline."""
     try:
-        async with asyncio.timeout_at(deadline):
+        async with asyncio.timeout(max(0.0, deadline - now())):
             return await future
     except TimeoutError:
         return late
--- /dev/null
+++ b/chivescale/coordinator/_host.py
@@ -0,0 +1,340 @@
+"""Shell of the coordinator."""
+
+import asyncio
+import pathlib
+import uuid
+
+import msgspec
+
+from chivescale.agreement import (
+    AgreementHost,
+    AgreementMessage,
+    Callbacks,
+    DurableLog,
+    Role,
+)
+from chivescale.catalog import Catalog, StoreResult
+from chivescale.clock import now
+from chivescale.coordinator._messages import (
+    Callers,
+    DocumentAnswer,
+    Gossip,
+    OrderPromotion,
+    StoreCatalog,
+    StoreOrder,
+)
+from chivescale.coordinator._promoter import Promoter
+from chivescale.coordinator._replicated import ReplicatedState
+from chivescale.coordinator._spread import Spread
+from chivescale.coordinator._upkeep import Upkeep
+from chivescale.dialect import EndpointDialect
+from chivescale.errors import KIND_TABLE, ErrorKind, Failure, is_failure
+from chivescale.httpio import HttpClient, HttpRequest, HttpResponse
+from chivescale.messages import (
+    Done,
+    ErrorBody,
+    OpinionReport,
+    WatchRequest,
+    decode,
+    encode,
+)
+from chivescale.promotion import PromotionAuthority
+from chivescale.registry import EndpointBeat, Registry
+from chivescale.settings import AgreementSettings, ControlMember
+from chivescale.telemetry import log_event
+
+# Heartbeats of the agreement. An election takes up to three times the
+# election timeout, which has to exceed a slow sync of a disk (150 ms).
+HEARTBEAT_MS = 100
+ELECTION_TIMEOUT_MS = 500
+SNAPSHOT_ENTRIES = 500
+# A caller gives up after one second and asks another host.
+ORDER_TIMEOUT_S = 0.9
+READ_TIMEOUT_S = 0.7
+
+
+class CoordinatorSettings(msgspec.Struct, frozen=True):
+    """What a coordinator needs to know.
+
+    Attributes
+    ----------
+    name : str
+        Name of the host, which is the holder of its promotions.
+    address : str
+        Own ``ip:port``, by which the other members know this host.
+    seeds : tuple of str
+        Addresses of coordinators.
+    data_dir : str
+        Folder of the durable state.
+    may_form : bool
+        Whether the group may be formed anew with the seeds as its first
+        members; False once it has existed.
+    """
+
+    name: str
+    address: str
+    seeds: tuple[str, ...]
+    data_dir: str
+    may_form: bool
+
+
+class CoordinatorHost:
+    """One coordinator: its member of the log and what it serves.
+
+    Parameters
+    ----------
+    settings : CoordinatorSettings
+        Identity and seeds.
+    client : HttpClient
+        Connections to the other coordinators.
+    dialect : EndpointDialect
+        How endpoints are spoken to.
+    authority : PromotionAuthority
+        Carries out promotions.
+    """
+
+    def __init__(
+        self,
+        settings: CoordinatorSettings,
+        client: HttpClient,
+        dialect: EndpointDialect,
+        authority: PromotionAuthority,
+    ):
+        self.settings = settings
+        self.client = client
+        self.boot = uuid.uuid4().hex[:12]
+        self.state = ReplicatedState()
+        self.registry = Registry()
+        self.agreement = self.new_agreement()
+        self.spread = Spread(self)
+        self.promoter = Promoter(self, dialect, authority)
+        self.upkeep = Upkeep(self)
+        self.tasks: list[asyncio.Task] = []
+        self.handlers = {
+            "/v1/agreement": self._on_agreement,
+            "/v1/watch": self._on_watch,
+            "/v1/gossip": self._on_gossip,
+            "/v1/callers": self._on_callers,
+            "/v1/opinions": self._on_opinions,
+            "/v1/store": self._on_store,
+            "/v1/read": self._on_read,
+        }
+
+    def new_agreement(self) -> AgreementHost:
+        """Return a member that has not opened its folder yet."""
+        settings = self.settings
+        self.state = ReplicatedState()
+        state = self.state
+        return AgreementHost(
+            settings.address,
+            tuple(ControlMember(seed, seed) for seed in settings.seeds),
+            DurableLog(pathlib.Path(settings.data_dir)),
+            self.client,
+            AgreementSettings(
+                heartbeat_ms=HEARTBEAT_MS,
+                election_timeout_ms=ELECTION_TIMEOUT_MS,
+                snapshot_entries=SNAPSHOT_ENTRIES,
+            ),
+            Callbacks(
+                self._apply,
+                lambda: state.snapshot(),
+                lambda data: state.restore(data),
+                self._leadership_changed,
+            ),
+            address=settings.address,
+            may_form=settings.may_form,
+        )
+
+    async def start(self) -> None:
+        """Open the data folder and take part in the group."""
+        await self.agreement.start()
+        self.tasks = [
+            asyncio.ensure_future(self.upkeep.run()),
+            asyncio.ensure_future(self.spread.run()),
+        ]
+
+    async def stop(self) -> None:
+        """Leave the group's work and close the data folder."""
+        for task in self.tasks:
+            task.cancel()
+        self.promoter.end()
+        await self.agreement.close()
+        await self.client.close()
+
+    def use_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Take over addresses from changed settings.
+
+        A member that is not yet admitted asks the new ones.
+        """
+        if seeds == self.settings.seeds:
+            return
+        self.settings = msgspec.structs.replace(self.settings, seeds=seeds)
+        machine = self.agreement.machine
+        if machine is not None and not machine.formed:
+            self.upkeep.reopen_soon()
+
+    # The log.
+
+    def _apply(self, index: int, data: bytes):
+        result = self.state.apply(index, data)
+        if isinstance(result, StoreResult):
+            log_event(
+                "catalog_applied",
+                version=result.version,
+                changed=result.changed,
+                index=index,
+            )
+            self.spread.wake()
+        return result
+
+    def _leadership_changed(self, leading: bool, term: int) -> None:
+        if leading:
+            self.promoter.begin()
+        else:
+            self.promoter.end()
+
+    @property
+    def leading(self) -> bool:
+        """Whether this host leads the group."""
+        return self.agreement.is_leader
+
+    def contact_age_s(self) -> float:
+        """Return how long ago this host was in contact with a quorum."""
+        machine = self.agreement.machine
+        if machine is None or self.agreement.failure is not None:
+            return float("inf")
+        if machine.role is Role.LEADER:
+            return 0.0
+        if machine.leader is None or machine.leader_contact is None:
+            return float("inf")
+        return now() - machine.leader_contact
+
+    # What operators and endpoints ask for.
+
+    async def store_catalog(
+        self, catalog: Catalog, document: bytes
+    ) -> StoreResult | Failure:
+        """Store a configuration; the answer of a quorum counts."""
+        order = StoreOrder(catalog, document)
+        if self.leading:
+            result = await self._store(order)
+        else:
+            result = await self._ask_leader("/v1/store", StoreResult, order)
+        outcome = result.kind if is_failure(result) else "stored"
+        log_event(
+            "catalog_order",
+            version=catalog.version,
+            outcome=outcome,
+            reason=result.reason if is_failure(result) else "",
+            leader=self.agreement.leader_address,
+        )
+        return result
+
+    async def _store(self, order: StoreOrder) -> StoreResult | Failure:
+        command = encode(StoreCatalog(order.catalog, order.document))
+        outcome = await self.agreement.submit(command, now() + ORDER_TIMEOUT_S)
+        return outcome if is_failure(outcome) else outcome.result
+
+    async def read_document(self) -> bytes | Failure:
+        """Return the newest configuration as the operator sent it."""
+        if self.leading:
+            answer = await self._read()
+        else:
+            answer = await self._ask_leader("/v1/read", DocumentAnswer, Done())
+        return answer if is_failure(answer) else answer.document
+
+    async def _read(self) -> DocumentAnswer | Failure:
+        index = await self.agreement.confirm_read(now() + READ_TIMEOUT_S)
+        if is_failure(index):
+            return index
+        return DocumentAnswer(self.state.catalog.document)
+
+    async def _ask_leader(self, path: str, reply_type, body):
+        address = self.agreement.leader_address
+        if not address or address == self.settings.address:
+            return Failure(ErrorKind.NOT_LEADER, "no leader is known")
+        return await self.client.call(
+            address, "POST", path, reply_type, body, timeout_s=ORDER_TIMEOUT_S
+        )
+
+    async def note_beat(self, beat: EndpointBeat) -> Failure | None:
+        """Take over the heartbeat of an endpoint.
+
+        An endpoint that announces its end relies on the answer: every
+        entry host then has to stop sending new work in time. So another
+        coordinator has to know of it too.
+        """
+        news = self.registry.note(beat, now())
+        if not news:
+            return None
+        return await self.spread.share(beat, urgent=beat.draining)
+
+    async def note_farewell(self, endpoint: str, born_ms: int) -> None:
+        """Take over the farewell of an endpoint."""
+        if self.registry.leave(endpoint, born_ms, now()):
+            view = self.registry.views[endpoint]
+            await self.spread.share(view.beat, urgent=False)
+
+    async def reserve_token(
+        self, service: str, endpoint: str
+    ) -> int | Failure:
+        """Return a fencing token for one promotion."""
+        holder = self.settings.name
+        command = encode(OrderPromotion(service, endpoint, holder))
+        return await self.agreement.propose(command, now() + ORDER_TIMEOUT_S)
+
+    # What the system's own processes ask for.
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answer a request of another process of the system."""
+        handler = self.handlers.get(request.path)
+        if handler is None:
+            return HttpResponse(404)
+        answer = await handler(request.body)
+        if is_failure(answer):
+            body = ErrorBody(answer.kind, answer.reason, answer.redirect)
+            status = KIND_TABLE[answer.kind].http_status
+            return HttpResponse(status, encode(body))
+        return HttpResponse(200, encode(answer))
+
+    async def _on_agreement(self, body: bytes):
+        message = decode(body, AgreementMessage)
+        if is_failure(message):
+            return message
+        return self.agreement.receive(message)
+
+    async def _on_watch(self, body: bytes):
+        request = decode(body, WatchRequest)
+        if is_failure(request):
+            return request
+        return await self.spread.watch(request)
+
+    async def _on_gossip(self, body: bytes):
+        gossip = decode(body, Gossip)
+        if is_failure(gossip):
+            return gossip
+        self.spread.merge(gossip)
+        return Done()
+
+    async def _on_callers(self, body: bytes):
+        callers = decode(body, Callers)
+        if is_failure(callers):
+            return callers
+        self.upkeep.note_callers(callers.members)
+        return Done()
+
+    async def _on_opinions(self, body: bytes):
+        report = decode(body, OpinionReport)
+        if is_failure(report):
+            return report
+        self.promoter.note_opinions(report)
+        return Done()
+
+    async def _on_store(self, body: bytes):
+        order = decode(body, StoreOrder)
+        if is_failure(order):
+            return order
+        return await self._store(order)
+
+    async def _on_read(self, body: bytes):
+        return await self._read()
--- /dev/null
+++ b/chivescale/coordinator/_messages.py
@@ -0,0 +1,73 @@
+"""Messages between coordinators and the commands of their log."""
+
+import msgspec
+
+from chivescale.agreement import Member
+from chivescale.catalog import Catalog
+from chivescale.registry import EndpointBeat
+
+
+class StoreCatalog(msgspec.Struct, frozen=True, tag=True):
+    """Command: store a configuration."""
+
+    catalog: Catalog
+    document: bytes
+
+
+class OrderPromotion(msgspec.Struct, frozen=True, tag=True):
+    """Command: reserve the fencing token of one promotion.
+
+    The token is the log index of the command, so it is higher than every
+    earlier one and belongs to one holder.
+    """
+
+    service: str
+    endpoint: str
+    holder: str
+
+
+Command = StoreCatalog | OrderPromotion
+
+
+class SnapshotState(msgspec.Struct, frozen=True):
+    """Content of a snapshot of the log."""
+
+    catalog: Catalog | None
+    document: bytes
+
+
+class Gossip(msgspec.Struct, frozen=True):
+    """Soft state that coordinators exchange.
+
+    Attributes
+    ----------
+    beats : tuple of EndpointBeat
+        Statements of endpoints.
+    hosts : dict of str to float
+        Entry hosts and how long ago each was heard, in seconds.
+    suspects : tuple of str or None
+        Sent by the leader.
+    """
+
+    beats: tuple[EndpointBeat, ...] = ()
+    hosts: dict[str, float] = {}
+    suspects: tuple[str, ...] | None = None
+
+
+class Callers(msgspec.Struct, frozen=True):
+    """Incarnations that asked to be admitted to the group."""
+
+    members: tuple[Member, ...]
+
+
+class StoreOrder(msgspec.Struct, frozen=True):
+    """A configuration forwarded to the leader."""
+
+    catalog: Catalog
+    document: bytes
+
+
+class DocumentAnswer(msgspec.Struct, frozen=True):
+    """The configuration in force, confirmed by a quorum."""
+
+    document: bytes
--- /dev/null
+++ b/chivescale/coordinator/_spread.py
@@ -0,0 +1,197 @@
+"""Spreads configuration and endpoints to coordinators and entry hosts."""
+
+import asyncio
+
+from chivescale.clock import now
+from chivescale.coordinator._messages import Gossip
+from chivescale.errors import ErrorKind, Failure, is_failure
+from chivescale.messages import (
+    Done,
+    EndpointNews,
+    WatchAnswer,
+    WatchRequest,
+)
+from chivescale.registry import EndpointBeat, EndpointView
+from chivescale.telemetry import log_event
+
+# Upper limit of a long poll; a host that waits longer could not tell a
+# silent connection from a quiet system.
+MAX_WATCH_S = 1.0
+# Entry hosts that were not heard for this long are not counted any more.
+HOST_KEPT_S = 5.0
+# Period in which coordinators tell each other which entry hosts they heard.
+EXCHANGE_S = 1.0
+# Another coordinator answers within this time or counts as out of reach.
+SHARE_TIMEOUT_S = 0.4
+# With this many coordinators knowing of a leaving endpoint, the loss of one
+# loses nothing.
+COPIES_OF_URGENT = 2
+
+
+class Spread:
+    """Long polls of entry hosts and gossip between coordinators.
+
+    Parameters
+    ----------
+    host : CoordinatorHost
+        Owner.
+
+    Attributes
+    ----------
+    hosts : dict of str to float
+        When each entry host was heard, by any coordinator.
+    suspects : tuple of str
+        Endpoints about which the leader wants an opinion.
+    """
+
+    def __init__(self, host):
+        self.host = host
+        self.hosts: dict[str, float] = {}
+        self.suspects: tuple[str, ...] = ()
+        self.waiters: set[asyncio.Future] = set()
+        self.tasks: set[asyncio.Task] = set()
+
+    def wake(self) -> None:
+        """Answer the waiting long polls."""
+        for waiter in self.waiters:
+            if not waiter.done():
+                waiter.set_result(None)
+
+    async def watch(self, request: WatchRequest) -> WatchAnswer:
+        """Answer a long poll as soon as there is news."""
+        self.hosts[request.host] = now()
+        deadline = now() + min(request.wait_ms / 1000, MAX_WATCH_S)
+        while not self._has_news(request) and now() < deadline:
+            waiter = asyncio.get_running_loop().create_future()
+            self.waiters.add(waiter)
+            try:
+                async with asyncio.timeout(max(0.0, deadline - now())):
+                    await waiter
+            except TimeoutError:
+                break
+            finally:
+                self.waiters.discard(waiter)
+        return self._answer(request)
+
+    def _has_news(self, request: WatchRequest) -> bool:
+        host = self.host
+        return (
+            request.boot != host.boot
+            or request.revision < host.registry.revision
+            or request.version < host.state.catalog.version
+            or request.suspects != self.suspects
+        )
+
+    def _answer(self, request: WatchRequest) -> WatchAnswer:
+        host = self.host
+        since = request.revision if request.boot == host.boot else -1
+        catalog = host.state.catalog
+        time = now()
+        return WatchAnswer(
+            boot=host.boot,
+            revision=host.registry.revision,
+            catalog=(
+                catalog.catalog if request.version < catalog.version else None
+            ),
+            endpoints=tuple(
+                _news(view, time)
+                for view in host.registry.changed_since(since)
+            ),
+            members=self._members(),
+            leader=host.agreement.leader_address,
+            age_s=min(host.contact_age_s(), 1e6),
+            entry_hosts=len(self.hosts),
+            suspects=self.suspects,
+        )
+
+    def _members(self) -> tuple[str, ...]:
+        configuration = self.host.agreement.configuration
+        return tuple(member.address for member in configuration.members)
+
+    def others(self) -> list[str]:
+        """Return the addresses of the other coordinators."""
+        own = self.host.settings.address
+        known = {*self._members(), *self.host.settings.seeds}
+        return sorted(known - {own})
+
+    async def share(self, beat: EndpointBeat, urgent: bool) -> Failure | None:
+        """Tell the other coordinators of an endpoint.
+
+        Parameters
+        ----------
+        beat : EndpointBeat
+            Statement of the endpoint.
+        urgent : bool
+            Whether to wait until another coordinator has it.
+        """
+        self.wake()
+        gossip = Gossip(beats=(beat,))
+        calls = [self._send(address, gossip) for address in self.others()]
+        if not urgent:
+            return None
+        copies = 1
+        for answer in asyncio.as_completed(calls):
+            copies += not is_failure(await answer)
+            if copies >= COPIES_OF_URGENT:
+                return None
+        reason = "no other coordinator could be told"
+        return Failure(ErrorKind.NO_QUORUM, reason)
+
+    def share_suspects(self, suspects: tuple[str, ...]) -> None:
+        """Tell everyone which endpoints the leader suspects."""
+        if suspects == self.suspects:
+            return
+        self.suspects = suspects
+        self.wake()
+        for address in self.others():
+            self._send(address, Gossip(suspects=suspects))
+
+    def _send(self, address: str, gossip: Gossip) -> asyncio.Task:
+        task = asyncio.ensure_future(
+            self.host.client.call(
+                address,
+                "POST",
+                "/v1/gossip",
+                Done,
+                gossip,
+                timeout_s=SHARE_TIMEOUT_S,
+            )
+        )
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+    def merge(self, gossip: Gossip) -> None:
+        """Take over what another coordinator knows."""
+        time = now()
+        news = [self.host.registry.note(beat, time) for beat in gossip.beats]
+        for name, age_s in gossip.hosts.items():
+            heard = time - age_s
+            self.hosts[name] = max(self.hosts.get(name, heard), heard)
+        if gossip.suspects is not None:
+            news.append(gossip.suspects != self.suspects)
+            self.suspects = gossip.suspects
+        if any(news):
+            self.wake()
+
+    async def run(self) -> None:
+        """Exchange soft state at intervals."""
+        while True:
+            await asyncio.sleep(EXCHANGE_S)
+            time = now()
+            self.host.registry.expire(time)
+            for name, heard in list(self.hosts.items()):
+                if time - heard > HOST_KEPT_S:
+                    del self.hosts[name]
+                    log_event("entry_host_silent", host=name)
+            gossip = Gossip(
+                hosts={name: time - at for name, at in self.hosts.items()},
+                suspects=self.suspects if self.host.leading else None,
+            )
+            for address in self.others():
+                self._send(address, gossip)
+
+
+def _news(view: EndpointView, time: float) -> EndpointNews:
+    since = view.primary_since
+    return EndpointNews(view.beat, time - since if since else -1.0)
--- a/chivescale/errors/_kinds.py
+++ b/chivescale/errors/_kinds.py
@@ -43,8 +43,16 @@
     STORAGE_FAILED = "storage_failed"
     STORAGE_CORRUPT = "storage_corrupt"
     SETTINGS_INVALID = "settings_invalid"
+    ENDPOINT_READ_ONLY = "endpoint_read_only"
+    ENDPOINT_BEHIND = "endpoint_behind"
+    ENDPOINT_FULL = "endpoint_full"
+    WRONG_ENDPOINT = "wrong_endpoint"
+    UNKNOWN_DATABASE = "unknown_database"
+    UNKNOWN_STATEMENT = "unknown_statement"
+    TRANSACTION_FAILED = "transaction_failed"
     TIMEOUT = "timeout"
     UNREACHABLE = "unreachable"
+    CONNECTION_REFUSED = "connection_refused"
     INTERNAL = "internal"
 
 
@@ -114,7 +122,15 @@
     ErrorKind.STORAGE_FAILED: _answer(1105, "HY000", 500, ran=True),
     ErrorKind.STORAGE_CORRUPT: _answer(1105, "HY000", 500, ran=True),
     ErrorKind.SETTINGS_INVALID: _answer(1105, "HY000", 500),
+    ErrorKind.ENDPOINT_READ_ONLY: _answer(1290, "HY000", 503, repeat=True),
+    ErrorKind.ENDPOINT_BEHIND: _answer(1290, "HY000", 503, repeat=True),
+    ErrorKind.ENDPOINT_FULL: _answer(1040, "08004", 503, repeat=True),
+    ErrorKind.WRONG_ENDPOINT: _answer(1049, "42000", 503, repeat=True),
+    ErrorKind.UNKNOWN_DATABASE: _answer(1049, "42000", 404),
+    ErrorKind.UNKNOWN_STATEMENT: _answer(1243, "HY000", 400),
+    ErrorKind.TRANSACTION_FAILED: _answer(1105, "25P02", 400),
     ErrorKind.TIMEOUT: _answer(1105, "08S01", 504, ran=True),
     ErrorKind.UNREACHABLE: _answer(2003, "08001", 503, repeat=True),
+    ErrorKind.CONNECTION_REFUSED: _answer(2003, "08001", 503, repeat=True),
     ErrorKind.INTERNAL: _answer(1105, "HY000", 500, ran=True),
 }
--- a/chivescale/messages/__init__.py
+++ b/chivescale/messages/__init__.py
@@ -46,6 +46,13 @@
     ReplaceRequest,
     Status,
 )
+from chivescale.messages._watch import (
+    Done,
+    EndpointNews,
+    OpinionReport,
+    WatchAnswer,
+    WatchRequest,
+)
 
 __all__ = [
     "AcceptSheet",
@@ -54,8 +61,10 @@
     "Batch",
     "BeginTerm",
     "Command",
+    "Done",
     "DrainHost",
     "DrainRequest",
+    "EndpointNews",
     "EndpointRecord",
     "EndpointStatus",
     "ErrorBody",
@@ -67,6 +76,7 @@
     "Lease",
     "LeaveEndpoint",
     "MemberStatus",
+    "OpinionReport",
     "Position",
     "Promise",
     "PromiseReply",
@@ -85,7 +95,9 @@
     "Status",
     "Suspicion",
     "TermStart",
+    "WatchAnswer",
     "WatchReply",
+    "WatchRequest",
     "WorkspaceRecord",
     "decode",
     "encode",
--- /dev/null
+++ b/chivescale/messages/_watch.py
@@ -0,0 +1,93 @@
+"""Messages between entry hosts and coordinators."""
+
+import msgspec
+
+from chivescale.catalog import Catalog
+from chivescale.registry import EndpointBeat
+
+
+class EndpointNews(msgspec.Struct, frozen=True):
+    """What a coordinator tells of one endpoint.
+
+    Attributes
+    ----------
+    beat : EndpointBeat
+        Its last statement.
+    primary_for_s : float
+        For how long it has called itself primary; negative if it does not.
+    """
+
+    beat: EndpointBeat
+    primary_for_s: float
+
+
+class WatchRequest(msgspec.Struct, frozen=True):
+    """Asks for news; answered at once if there is any.
+
+    Attributes
+    ----------
+    host : str
+        Name of the entry host.
+    boot : str
+        Identifier of the coordinator process that `revision` refers to.
+    revision : int
+        Revision of the registry that the host knows.
+    version : int
+        Configuration that the host knows.
+    suspects : tuple of str
+        Suspected endpoints that the host knows.
+    wait_ms : int
+        How long to wait for news.
+    """
+
+    host: str
+    boot: str
+    revision: int
+    version: int
+    suspects: tuple[str, ...]
+    wait_ms: int
+
+
+class WatchAnswer(msgspec.Struct, frozen=True):
+    """News for an entry host.
+
+    Attributes
+    ----------
+    boot, revision
+        What the host has to ask with next.
+    catalog : Catalog or None
+        Configuration, if the host knows an older one.
+    endpoints : tuple of EndpointNews
+        Endpoints that changed since the revision asked with.
+    members : tuple of str
+        Addresses of the coordinators.
+    leader : str
+        Address of the leading coordinator; empty if unknown.
+    age_s : float
+        How long ago this coordinator was in contact with a quorum.
+    entry_hosts : int
+        Entry hosts that watch.
+    suspects : tuple of str
+        Endpoints about which the leader wants an opinion.
+    """
+
+    boot: str
+    revision: int
+    catalog: Catalog | None
+    endpoints: tuple[EndpointNews, ...]
+    members: tuple[str, ...]
+    leader: str
+    age_s: float
+    entry_hosts: int
+    suspects: tuple[str, ...]
+
+
+class OpinionReport(msgspec.Struct, frozen=True):
+    """Whether an entry host reaches suspected endpoints."""
+
+    host: str
+    reachable: dict[str, bool]
+
+
+class Done(msgspec.Struct, frozen=True):
+    """The request was carried out."""
--- /dev/null
+++ b/chivescale/relay/_endpoint.py
@@ -0,0 +1,198 @@
+"""What an entry host knows of the endpoints of a service."""
+
+import random
+
+from chivescale.clock import now
+from chivescale.dialect import EndpointDialect
+from chivescale.errors import ErrorKind, Failure, is_failure
+from chivescale.link import Link, open_link
+from chivescale.messages import Position
+from chivescale.registry import EndpointBeat
+from chivescale.relay._freshness import PrimarySample
+from chivescale.relay._pool import LinkPool
+
+# Expected latency of an endpoint of which nothing was heard lately.
+BASE_LATENCY_S = 0.015
+# Share of a new measurement in the average latency.
+LATENCY_WEIGHT = 0.3
+# An old measurement loses half of its weight in this time.
+LATENCY_HALF_LIFE_S = 1.0
+# A round trip to another zone, and its priced bytes, against a queue.
+OTHER_ZONE_S = 0.004
+# The primary keeps room for work that no other endpoint can do.
+PRIMARY_FACTOR = 1.6
+# A replica that was behind a read is passed over for about one more lag.
+BEHIND_S = 0.05
+# Without a claim, an endpoint that refused a write is tried again after this.
+REFUSED_S = 0.5
+
+
+class Endpoint:
+    """One endpoint and the links to it.
+
+    Attributes
+    ----------
+    beat : EndpointBeat
+        Last statement that the endpoint made of itself.
+    primary_since : float
+        When it began to call itself primary; 0 if it does not.
+    position : Position or None
+        Last log entry known to be applied.
+    outstanding : int
+        Statements under way from this host.
+    refused_at : float
+        When it last said that it is not the primary.
+    wrong : bool
+        Whether another endpoint answers at its address.
+    """
+
+    def __init__(self, beat: EndpointBeat, dialect: EndpointDialect):
+        self.beat = beat
+        self.dialect = dialect
+        self.primary_since = 0.0
+        self.position: Position | None = None
+        self.outstanding = 0
+        self.latency_s = BASE_LATENCY_S
+        self.measured_at = 0.0
+        self.refused_at = 0.0
+        self.behind_until = 0.0
+        self.wrong = False
+        self.pool = LinkPool(self._open)
+
+    async def _open(self, timeout_s: float) -> Link | Failure:
+        beat = self.beat
+        link = await open_link(
+            self.dialect, beat.address, beat.service, beat.endpoint, timeout_s
+        )
+        if is_failure(link) and link.kind is ErrorKind.WRONG_ENDPOINT:
+            self.wrong = True
+        return link
+
+    def usable(self, time: float) -> bool:
+        """Tell whether new work may be sent."""
+        return not self.wrong and not self.pool.failing(time)
+
+    def note_answer(
+        self, position: Position | None, latency_s: float, time: float
+    ) -> None:
+        """Take over what an answer tells."""
+        if position is not None:
+            self.position = position
+        average = self.expected_latency_s(time)
+        self.latency_s = average + LATENCY_WEIGHT * (latency_s - average)
+        self.measured_at = time
+
+    def expected_latency_s(self, time: float) -> float:
+        """Return the latency, the less weighted the older it is."""
+        age = time - self.measured_at
+        weight = 0.5 ** min(50.0, age / LATENCY_HALF_LIFE_S)
+        return BASE_LATENCY_S + (self.latency_s - BASE_LATENCY_S) * weight
+
+    def cost_s(
+        self, zone: str, need: Position | None, primary: bool, time: float
+    ) -> float:
+        """Estimate how long a read takes here."""
+        waiting = self.outstanding + self.pool.waiting
+        cost = self.expected_latency_s(time)
+        cost *= 1 + waiting / max(1, self.beat.slots)
+        if self.beat.zone != zone:
+            cost += OTHER_ZONE_S
+        if primary:
+            return cost * PRIMARY_FACTOR
+        behind = need is not None and (
+            self.position is None or self.position < need
+        )
+        if behind and time < self.behind_until:
+            cost += BEHIND_S * 4
+        return cost
+
+
+class Service:
+    """The endpoints of one service as this host sees them.
+
+    Attributes
+    ----------
+    endpoints : dict of str to Endpoint
+        By identifier; those that ended are removed.
+    sample : PrimarySample
+        Newest proven position.
+    primary : str
+        Endpoint that last proved to lead; empty if unknown.
+    """
+
+    def __init__(self, name: str, zone: str, rng: random.Random):
+        self.name = name
+        self.zone = zone
+        self.rng = rng
+        self.endpoints: dict[str, Endpoint] = {}
+        self.sample = PrimarySample()
+        self.primary = ""
+        self.proved_at = 0.0
+
+    def note_lead(
+        self, endpoint: Endpoint, position: Position | None, sent_at: float
+    ) -> None:
+        """Note that an endpoint led after `sent_at`."""
+        self.sample.note(position, sent_at)
+        if sent_at >= self.proved_at:
+            self.primary = endpoint.beat.endpoint
+            self.proved_at = sent_at
+
+    def note_refusal(self, endpoint: Endpoint) -> None:
+        """Note that an endpoint is not the primary."""
+        endpoint.refused_at = now()
+        if self.primary == endpoint.beat.endpoint:
+            self.primary = ""
+
+    def primaries(self, time: float) -> list[Endpoint]:
+        """Return the endpoints that may lead, the likeliest first.
+
+        The one that proved it last comes first unless another one claims
+        it since. An endpoint without a claim is tried only when there is
+        no claim.
+        """
+        usable = [e for e in self.endpoints.values() if e.usable(time)]
+        claims = [
+            (max(e.primary_since, self._proof(e)), e.beat.endpoint, e)
+            for e in usable
+            if max(e.primary_since, self._proof(e)) > e.refused_at
+        ]
+        if claims:
+            return [e for _, _, e in sorted(claims, reverse=True)]
+        if any(
+            e.primary_since > e.refused_at for e in self.endpoints.values()
+        ):
+            return []
+        others = [e for e in usable if time - e.refused_at > REFUSED_S]
+        return sorted(others, key=lambda e: e.refused_at)
+
+    def _proof(self, endpoint: Endpoint) -> float:
+        if self.primary == endpoint.beat.endpoint:
+            return self.proved_at
+        return 0.0
+
+    def readers(
+        self, need: Position | None, excluded: set[str], time: float
+    ) -> list[Endpoint]:
+        """Return the endpoints for a read, the cheapest first.
+
+        A leaving endpoint gets no new work unless there is no other.
+        """
+        usable = [
+            e
+            for e in self.endpoints.values()
+            if e.usable(time) and e.beat.endpoint not in excluded
+        ]
+        staying = [e for e in usable if not e.beat.draining]
+        costs = [
+            (
+                e.cost_s(
+                    self.zone, need, self.primary == e.beat.endpoint, time
+                )
+                * self.rng.uniform(0.95, 1.05),
+                e.beat.endpoint,
+                e,
+            )
+            for e in staying
+        ]
+        return [e for _, _, e in sorted(costs)]
--- /dev/null
+++ b/chivescale/relay/_executor.py
@@ -0,0 +1,475 @@
+"""Runs statements on endpoints under the guarantees of their routes."""
+
+import asyncio
+import collections.abc
+
+from chivescale.catalog import Consistency
+from chivescale.clock import now
+from chivescale.dialect import TransactionState
+from chivescale.errors import ErrorKind, Failure, is_failure
+from chivescale.link import Link
+from chivescale.messages import Position
+from chivescale.relay._endpoint import BEHIND_S, Endpoint, Service
+from chivescale.relay._prepare import Need, forwarded_text, prepare_link
+from chivescale.relay._transaction import Transaction
+from chivescale.relay._work import Outcome, Work, refusal_of
+from chivescale.telemetry import log_event
+
+# A sample of the primary's position is renewed in the background once it
+# has used this share of the accepted staleness.
+RENEW_SHARE = 0.6
+# Longest wait for a position of the primary.
+BARRIER_TIMEOUT_S = 0.25
+# Endpoints that one statement is offered to.
+MAX_ATTEMPTS = 4
+# Statements of the system itself end within this time.
+OWN_TIMEOUT_S = 1.0
+
+# Refusals that leave the statement free to run elsewhere.
+NOT_RUN = frozenset(
+    {
+        ErrorKind.OVERLOADED,
+        ErrorKind.ENDPOINT_BEHIND,
+        ErrorKind.ENDPOINT_READ_ONLY,
+        ErrorKind.ENDPOINT_FULL,
+        ErrorKind.WRONG_ENDPOINT,
+        ErrorKind.UNREACHABLE,
+        ErrorKind.CONNECTION_REFUSED,
+        ErrorKind.UNKNOWN_STATEMENT,
+    }
+)
+
+
+class Executor:
+    """Runs statements; the sessions of a host share it.
+
+    Parameters
+    ----------
+    service_of : callable
+        ``(name) -> Service``.
+    """
+
+    def __init__(self, service_of: collections.abc.Callable[[str], Service]):
+        self.service_of = service_of
+        self.barriers: dict[str, asyncio.Task] = {}
+        self.tasks: set[asyncio.Task] = set()
+
+    # Single statements.
+
+    async def run_single(self, work: Work) -> Outcome:
+        """Run a statement outside a transaction."""
+        service = self.service_of(work.route.service)
+        if work.writes:
+            return await self._write(service, work)
+        if work.route.consistency is Consistency.PRIMARY:
+            return await self._read_on_primary(service, work)
+        return await self._read(service, work)
+
+    async def _write(self, service: Service, work: Work) -> Outcome:
+        failure = None
+        for endpoint in service.primaries(now())[:MAX_ATTEMPTS]:
+            link = await self._acquire(endpoint, work)
+            if is_failure(link):
+                failure = link
+                continue
+            sent_at = now()
+            outcome = await self._run(endpoint, link, work)
+            self._release(endpoint, link)
+            if not is_failure(outcome):
+                service.note_lead(endpoint, outcome.position, sent_at)
+                work.session.note_commit(service.name, outcome.position)
+                return outcome
+            if outcome.kind not in NOT_RUN:
+                return _write_failure(outcome)
+            failure = outcome
+            if outcome.kind is not ErrorKind.ENDPOINT_READ_ONLY:
+                break
+            service.note_refusal(endpoint)
+        return failure or no_primary(service)
+
+    async def _read_on_primary(self, service: Service, work: Work) -> Outcome:
+        """Run a read inside an own transaction on the primary.
+
+        Only a primary begins such a transaction, and it refuses further
+        statements once it has lost the lead. So the read never runs on a
+        log that another primary has already continued.
+        """
+        failure = None
+        for endpoint in service.primaries(now())[:MAX_ATTEMPTS]:
+            link = await self._begin(service, endpoint, work, True, None)
+            if is_failure(link):
+                failure = link
+                continue
+            outcome = await self._run(endpoint, link, work)
+            self._roll_back(endpoint, link)
+            if not is_failure(outcome):
+                return outcome
+            failure = outcome
+            if outcome.kind is ErrorKind.ENDPOINT_READ_ONLY:
+                service.note_refusal(endpoint)
+            elif not _may_repeat_read(outcome):
+                return outcome
+            if work.expired():
+                break
+        return failure or no_primary(service)
+
+    async def _read(self, service: Service, work: Work) -> Outcome:
+        need = await self._required(
+            service, work.route, work.arrived_at, work.session
+        )
+        if is_failure(need):
+            return await self._read_on_primary(service, work)
+        excluded: set[str] = set()
+        failure = None
+        while work.attempts < MAX_ATTEMPTS:
+            failure = work.expired() or failure
+            endpoints = service.readers(need, excluded, now())
+            if not endpoints or work.expired():
+                break
+            endpoint = endpoints[0]
+            excluded.add(endpoint.beat.endpoint)
+            work.attempts += 1
+            outcome = await self._read_once(endpoint, work, need)
+            if not is_failure(outcome) or not _may_repeat_read(outcome):
+                return outcome
+            failure = outcome
+        if failure is not None and failure.kind in (
+            ErrorKind.ENDPOINT_BEHIND,
+            ErrorKind.READ_INTERRUPTED,
+        ):
+            return await self._read_on_primary(service, work)
+        return failure or no_endpoint(service)
+
+    async def _read_once(
+        self, endpoint: Endpoint, work: Work, need: Position
+    ) -> Outcome:
+        link = await self._acquire(endpoint, work)
+        if is_failure(link):
+            return link
+        outcome = await self._run(endpoint, link, work, after=need)
+        self._release(endpoint, link)
+        if is_failure(outcome) and outcome.kind is ErrorKind.ENDPOINT_BEHIND:
+            endpoint.behind_until = now() + BEHIND_S
+        return outcome
+
+    # Transactions.
+
+    async def run_in_transaction(
+        self, transaction: Transaction, work: Work
+    ) -> Outcome:
+        """Run a statement of an open transaction."""
+        if transaction.link is None:
+            failure = await self._start(transaction, work)
+            if failure is not None:
+                return failure
+        endpoint, link = transaction.endpoint, transaction.link
+        transaction.wrote = transaction.wrote or work.writes
+        sent_at = now()
+        outcome = await self._run(endpoint, link, work)
+        if not is_failure(outcome):
+            if transaction.leads:
+                transaction.service.note_lead(
+                    endpoint, outcome.position, sent_at
+                )
+            return outcome
+        if outcome.kind is ErrorKind.ENDPOINT_READ_ONLY and transaction.leads:
+            transaction.service.note_refusal(endpoint)
+        self.abandon(transaction)
+        return _aborted(outcome)
+
+    async def _start(
+        self, transaction: Transaction, work: Work
+    ) -> Failure | None:
+        """Begin a transaction on an endpoint that its route allows."""
+        route = transaction.route
+        service = self.service_of(route.service)
+        leads = (
+            not transaction.read_only
+            or route.consistency is Consistency.PRIMARY
+        )
+        need = None
+        if not leads:
+            need = await self._required(
+                service, route, transaction.arrived_at, work.session
+            )
+            leads = is_failure(need)
+        failure = None
+        excluded: set[str] = set()
+        while work.attempts < MAX_ATTEMPTS and not work.expired():
+            if leads:
+                endpoints = service.primaries(now())
+                endpoints = [
+                    e for e in endpoints if e.beat.endpoint not in excluded
+                ]
+            else:
+                endpoints = service.readers(need, excluded, now())
+            if not endpoints:
+                break
+            endpoint = endpoints[0]
+            excluded.add(endpoint.beat.endpoint)
+            work.attempts += 1
+            link = await self._begin(
+                service, endpoint, work, leads, None if leads else need
+            )
+            if not is_failure(link):
+                transaction.service = service
+                transaction.endpoint, transaction.link = endpoint, link
+                transaction.leads = leads
+                return None
+            failure = link
+        if failure is not None and not leads:
+            if failure.kind is ErrorKind.ENDPOINT_BEHIND:
+                return await self._start_on_primary(transaction, work, service)
+        return failure or no_endpoint(service)
+
+    async def _start_on_primary(
+        self, transaction: Transaction, work: Work, service: Service
+    ) -> Failure | None:
+        failure = None
+        for endpoint in service.primaries(now())[:MAX_ATTEMPTS]:
+            link = await self._begin(service, endpoint, work, True, None)
+            if not is_failure(link):
+                transaction.service = service
+                transaction.endpoint, transaction.link = endpoint, link
+                transaction.leads = True
+                return None
+            failure = link
+        return failure or no_primary(service)
+
+    async def commit(self, transaction: Transaction, work: Work) -> Outcome:
+        """Commit an open transaction."""
+        if transaction.link is None:
+            failure = await self._start(transaction, work)
+            if failure is not None:
+                return _aborted(failure)
+        endpoint, link = transaction.endpoint, transaction.link
+        sent_at = now()
+        outcome = await self._run(endpoint, link, work)
+        transaction.link = None
+        self._release(endpoint, link)
+        if not is_failure(outcome):
+            if transaction.wrote:
+                service = transaction.service
+                service.note_lead(endpoint, outcome.position, sent_at)
+                work.session.note_commit(service.name, outcome.position)
+            return outcome
+        if not transaction.wrote:
+            return _aborted(outcome)
+        return _write_failure(outcome)
+
+    def abandon(self, transaction: Transaction) -> None:
+        """Roll back a transaction without waiting for it."""
+        transaction.stop_timer()
+        transaction.failed = True
+        link, transaction.link = transaction.link, None
+        if link is not None:
+            self._roll_back(transaction.endpoint, link)
+
+    # Freshness.
+
+    async def _required(
+        self, service: Service, route, arrived_at: float, session
+    ) -> Position | Failure:
+        """Return the position that a read has to include."""
+        staleness_s = route.max_staleness_ms / 1000
+        sample = service.sample
+        if not sample.covers(arrived_at, staleness_s):
+            failure = await self._barrier(service)
+            if not sample.covers(arrived_at, staleness_s):
+                return failure or Failure(
+                    ErrorKind.FRESHNESS_UNPROVED, "no sample of the primary"
+                )
+        elif sample.age_s(arrived_at) > RENEW_SHARE * staleness_s:
+            self._start_barrier(service)
+        need = sample.position
+        own = session.positions.get(service.name)
+        if route.consistency is Consistency.SESSION and own is not None:
+            need = max(need, own)
+        return need
+
+    def _start_barrier(self, service: Service) -> asyncio.Task:
+        """Ask the primary for its position; one question at a time."""
+        task = self.barriers.get(service.name)
+        if task is None or task.done():
+            task = asyncio.ensure_future(self._ask_position(service))
+            self.barriers[service.name] = task
+        return task
+
+    async def _barrier(self, service: Service) -> Failure | None:
+        task = self._start_barrier(service)
+        try:
+            async with asyncio.timeout(BARRIER_TIMEOUT_S):
+                return await asyncio.shield(task)
+        except TimeoutError:
+            reason = "the primary did not tell its position in time"
+            return Failure(ErrorKind.FRESHNESS_UNPROVED, reason)
+
+    async def _ask_position(self, service: Service) -> Failure | None:
+        failure = no_primary(service)
+        for endpoint in service.primaries(now())[:MAX_ATTEMPTS]:
+            link = await endpoint.pool.acquire(0, BARRIER_TIMEOUT_S, {}, None)
+            if is_failure(link):
+                failure = link
+                continue
+            sent_at = now()
+            dialect = link.dialect
+            data = dialect.query("", dialect.begin_text(False, None))
+            data += dialect.query("", dialect.rollback_text())
+            replies = await link.exchange(data, 2, BARRIER_TIMEOUT_S)
+            self._release(endpoint, link)
+            if is_failure(replies):
+                failure = replies
+                continue
+            failure = refusal_of(replies[0])
+            if failure is None:
+                service.note_lead(endpoint, replies[0].position, sent_at)
+                return None
+            if failure.kind is ErrorKind.ENDPOINT_READ_ONLY:
+                service.note_refusal(endpoint)
+        return failure
+
+    # Links.
+
+    async def _acquire(self, endpoint: Endpoint, work: Work) -> Link | Failure:
+        session = work.session
+        return await endpoint.pool.acquire(
+            work.route.priority,
+            work.link_wait_s(now()),
+            session.values,
+            session,
+        )
+
+    async def _begin(
+        self,
+        service: Service,
+        endpoint: Endpoint,
+        work: Work,
+        leads: bool,
+        after: Position | None,
+    ) -> Link | Failure:
+        """Return a link inside a transaction that was just begun."""
+        link = await self._acquire(endpoint, work)
+        if is_failure(link):
+            return link
+        begin = link.dialect.begin_text(not leads, after)
+        need = Need(work.session.values, work.definition, begin)
+        sent_at = now()
+        begun = await prepare_link(link, need, OWN_TIMEOUT_S)
+        link.last_session = work.session
+        if not is_failure(begun):
+            if leads:
+                service.note_lead(endpoint, begun.position, sent_at)
+            return link
+        failure = begun
+        self._release(endpoint, link)
+        if failure.kind is ErrorKind.ENDPOINT_READ_ONLY:
+            service.note_refusal(endpoint)
+        elif failure.kind is ErrorKind.ENDPOINT_BEHIND:
+            endpoint.behind_until = now() + BEHIND_S
+        return _not_started(failure)
+
+    async def _run(
+        self,
+        endpoint: Endpoint,
+        link: Link,
+        work: Work,
+        after: Position | None = None,
+    ) -> Outcome:
+        """Run the caller's statement on a link."""
+        session = work.session
+        need = Need(session.values, work.definition)
+        failure = await prepare_link(link, need, OWN_TIMEOUT_S)
+        if is_failure(failure):
+            return _not_started(failure)
+        link.last_session = session
+        text = forwarded_text(link, work.statement, work.definition)
+        if after is not None:
+            text = link.dialect.after_text(after, text)
+        if work.expired():
+            return work.expired()
+        started = now()
+        endpoint.outstanding += 1
+        try:
+            reply = await link.statement(
+                text, work.left_s(started), work.statement.request_id
+            )
+        finally:
+            endpoint.outstanding -= 1
+        if is_failure(reply):
+            return reply
+        time = now()
+        endpoint.note_answer(reply.position, time - started, time)
+        return refusal_of(reply) or reply
+
+    def _release(self, endpoint: Endpoint, link: Link) -> None:
+        """Return a link; one that is inside a transaction is rolled back."""
+        if link.usable and link.state is not TransactionState.IDLE:
+            self._roll_back(endpoint, link)
+        else:
+            endpoint.pool.release(link)
+
+    def _roll_back(self, endpoint: Endpoint, link: Link) -> None:
+        task = asyncio.ensure_future(self._end_transaction(endpoint, link))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _end_transaction(self, endpoint: Endpoint, link: Link) -> None:
+        if link.usable:
+            text = link.dialect.rollback_text()
+            reply = await link.statement(text, OWN_TIMEOUT_S)
+            if is_failure(reply) or reply.state is not TransactionState.IDLE:
+                link.abort()
+                log_event(
+                    "rollback_failed",
+                    "warning",
+                    endpoint=endpoint.beat.endpoint,
+                    reason=reply.reason if is_failure(reply) else "still open",
+                )
+        endpoint.pool.release(link)
+
+
+def no_primary(service: Service) -> Failure:
+    """Return the refusal while no primary is known."""
+    reason = f"no primary of {service.name} is known"
+    return Failure(ErrorKind.NO_PRIMARY, reason)
+
+
+def no_endpoint(service: Service) -> Failure:
+    """Return the refusal while no endpoint can serve a read."""
+    reason = f"no endpoint of {service.name} can be used"
+    return Failure(ErrorKind.OVERLOADED, reason)
+
+
+def _not_started(failure: Failure) -> Failure:
+    """Mark a lost link on which no statement of the caller had left."""
+    if failure.kind in (ErrorKind.READ_INTERRUPTED, ErrorKind.TIMEOUT):
+        return Failure(ErrorKind.UNREACHABLE, failure.reason)
+    return failure
+
+
+def _may_repeat_read(failure: Failure) -> bool:
+    return (
+        failure.kind in NOT_RUN or failure.kind is ErrorKind.READ_INTERRUPTED
+    )
+
+
+def _write_failure(failure: Failure) -> Failure:
+    """Return what a caller is told of a write that may have run."""
+    unknown = (ErrorKind.READ_INTERRUPTED, ErrorKind.TIMEOUT)
+    if failure.kind in unknown:
+        reason = f"answer to the write was lost: {failure.reason}"
+        return Failure(ErrorKind.OUTCOME_UNKNOWN, reason)
+    return failure
+
+
+def _aborted(failure: Failure) -> Failure:
+    """Return what a caller is told of a transaction that was rolled back."""
+    lost = (
+        ErrorKind.READ_INTERRUPTED,
+        ErrorKind.TIMEOUT,
+        ErrorKind.UNREACHABLE,
+        ErrorKind.CONNECTION_REFUSED,
+    )
+    if failure.kind in lost:
+        return Failure(ErrorKind.TRANSACTION_ABORTED, failure.reason)
+    return failure
--- /dev/null
+++ b/chivescale/relay/_host.py
@@ -0,0 +1,302 @@
+"""Shell of the relaying entry role."""
+
+import asyncio
+import random
+
+import msgspec
+
+from chivescale.catalog import Catalog, Route
+from chivescale.clock import now
+from chivescale.dialect import CallerDialect, EndpointDialect
+from chivescale.errors import ErrorKind, Failure, is_failure
+from chivescale.httpio import HttpClient
+from chivescale.messages import EndpointNews
+from chivescale.relay._endpoint import Endpoint, Service
+from chivescale.relay._executor import Executor
+from chivescale.relay._follower import Follower
+from chivescale.relay._session import CallerSession
+from chivescale.telemetry import log_event
+
+UPKEEP_PERIOD_S = 1.0
+# Connections of an endpoint that entry hosts leave to coordinators and to
+# links that are being closed.
+RESERVED_CONNECTIONS = 4
+# Part of an endpoint's connections that one host may hold while others need
+# none.
+LARGEST_SHARE = 0.25
+# One in this many plain successes is logged.
+SUCCESS_LOG_PERIOD = 200
+# While it stops, a host keeps accepting for this long, because the balancer
+# notices only after two probes that it is not ready.
+ACCEPT_AFTER_STOP_S = 2.5
+STOP_POLL_S = 0.05
+
+
+class RelaySettings(msgspec.Struct, frozen=True):
+    """What an entry host needs to know.
+
+    Attributes
+    ----------
+    name, zone : str
+        Identity.
+    callers_address : str
+        ``ip:port`` for callers.
+    seeds : tuple of str
+        Addresses of coordinators.
+    stop_grace_s : float
+        Time from the request to stop until the process is killed.
+    """
+
+    name: str
+    zone: str
+    callers_address: str
+    seeds: tuple[str, ...]
+    stop_grace_s: float
+
+
+class RelayHost:
+    """One entry host: sessions, services and what it follows.
+
+    Parameters
+    ----------
+    settings : RelaySettings
+        Identity and addresses.
+    client : HttpClient
+        Connections to coordinators.
+    callers, endpoints : CallerDialect, EndpointDialect
+        How both sides speak.
+    rng : random.Random
+        Source of random choices.
+    """
+
+    def __init__(
+        self,
+        settings: RelaySettings,
+        client: HttpClient,
+        callers: CallerDialect,
+        endpoints: EndpointDialect,
+        rng: random.Random,
+    ):
+        self.settings = settings
+        self.client = client
+        self.callers = callers
+        self.endpoints = endpoints
+        self.rng = rng
+        self.catalog: Catalog | None = None
+        self.routes: dict[str, Route] = {}
+        self.max_connections: dict[str, int] = {}
+        self.services: dict[str, Service] = {}
+        self.by_id: dict[str, Endpoint] = {}
+        self.sessions: set[CallerSession] = set()
+        self.executor = Executor(self.service)
+        self.follower = Follower(self)
+        self.server: asyncio.Server | None = None
+        self.tasks: list[asyncio.Task] = []
+        self.stopping = False
+        self.entry_hosts = 1
+        self.successes = 0
+
+    # Life.
+
+    async def start(self) -> None:
+        """Accept callers and follow the coordinators."""
+        host, _, port = self.settings.callers_address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(
+            self._accept, host, int(port), backlog=512
+        )
+        self.tasks = [
+            asyncio.ensure_future(self.follower.run()),
+            asyncio.ensure_future(self._upkeep()),
+        ]
+
+    @property
+    def ready(self) -> bool:
+        """Whether callers should be sent here."""
+        return self.catalog is not None and not self.stopping
+
+    def _accept(self):
+        session = CallerSession(self, self.callers)
+        self.sessions.add(session)
+        return session.channel
+
+    async def stop(self) -> None:
+        """Drain: not ready at once, then end sessions as they rest.
+
+        Transactions get half of the grace period. What is idle is closed
+        as soon as the balancer sends no new connections.
+        """
+        self.stopping = True
+        started = now()
+        grace_s = self.settings.stop_grace_s
+        log_event("drain_began", sessions=len(self.sessions))
+        half = started + grace_s / 2
+        while self.sessions and now() < started + grace_s * 0.8:
+            await asyncio.sleep(STOP_POLL_S)
+            accepting = now() < started + ACCEPT_AFTER_STOP_S
+            for session in list(self.sessions):
+                if now() >= half:
+                    session.abort_idle("the host is stopping")
+                if session.idle and not accepting:
+                    session.close()
+        rest = started + ACCEPT_AFTER_STOP_S - now()
+        if rest > 0:
+            await asyncio.sleep(rest)
+        log_event(
+            "drain_ended",
+            sessions=len(self.sessions),
+            duration_s=now() - started,
+        )
+        self.server.close()
+        for session in list(self.sessions):
+            session.close()
+        for task in self.tasks:
+            task.cancel()
+        for endpoint in self.by_id.values():
+            endpoint.pool.close()
+        await self.client.close()
+
+    async def _upkeep(self) -> None:
+        while True:
+            await asyncio.sleep(UPKEEP_PERIOD_S)
+            time = now()
+            for endpoint in self.by_id.values():
+                endpoint.pool.trim(time)
+
+    # Configuration and endpoints.
+
+    def apply_catalog(self, catalog: Catalog) -> None:
+        """Put a configuration into force; it never goes back."""
+        if self.catalog is not None and (
+            catalog.version <= self.catalog.version
+        ):
+            return
+        self.catalog = catalog
+        self.routes = {}
+        for route in catalog.routes:
+            self.routes.setdefault(route.database, route)
+        self.max_connections = {
+            options.name: options.max_connections
+            for options in catalog.services
+        }
+        self._share_connections()
+        log_event(
+            "catalog_in_force",
+            version=catalog.version,
+            routes=len(catalog.routes),
+        )
+
+    @property
+    def idle_transaction_ms(self) -> int:
+        """Time after which an idle transaction is rolled back."""
+        return self.catalog.idle_transaction_ms if self.catalog else 0
+
+    def route_of(self, database: str) -> Route | Failure:
+        """Return the route in force for a database."""
+        route = self.routes.get(database)
+        if route is not None:
+            return route
+        if self.catalog is None:
+            reason = "no configuration is known yet"
+            return Failure(ErrorKind.NOT_READY, reason)
+        reason = f"no route has the name {database}"
+        return Failure(ErrorKind.UNKNOWN_DATABASE, reason)
+
+    def service(self, name: str) -> Service:
+        """Return a service, known or not."""
+        service = self.services.get(name)
+        if service is None:
+            service = Service(name, self.settings.zone, self.rng)
+            self.services[name] = service
+        return service
+
+    def apply_news(self, news: EndpointNews) -> None:
+        """Take over what a coordinator tells of an endpoint."""
+        beat = news.beat
+        known = self.by_id.get(beat.endpoint)
+        if known is not None and beat.order <= known.beat.order:
+            return
+        replaced = known is not None and (
+            beat.gone
+            or beat.born_ms != known.beat.born_ms
+            or beat.address != known.beat.address
+            or beat.service != known.beat.service
+        )
+        if replaced:
+            self._forget(known)
+            known = None
+        if beat.gone:
+            return
+        if known is None:
+            known = Endpoint(beat, self.endpoints)
+            self.by_id[beat.endpoint] = known
+            self.service(beat.service).endpoints[beat.endpoint] = known
+            self._share_connections()
+        known.beat = beat
+        since = now() - news.primary_for_s
+        known.primary_since = since if news.primary_for_s >= 0 else 0.0
+        log_event(
+            "endpoint_known",
+            service=beat.service,
+            endpoint=beat.endpoint,
+            primary=beat.primary,
+            draining=beat.draining,
+            sequence=beat.sequence,
+        )
+
+    def _forget(self, endpoint: Endpoint) -> None:
+        name = endpoint.beat.endpoint
+        del self.by_id[name]
+        self.service(endpoint.beat.service).endpoints.pop(name, None)
+        endpoint.pool.close()
+        log_event("endpoint_forgotten", endpoint=name)
+
+    def set_entry_hosts(self, count: int) -> None:
+        """Divide the connections among this many entry hosts."""
+        if count != self.entry_hosts:
+            self.entry_hosts = max(1, count)
+            self._share_connections()
+
+    def _share_connections(self) -> None:
+        for endpoint in self.by_id.values():
+            total = self.max_connections.get(endpoint.beat.service, 0)
+            room = max(1, total - RESERVED_CONNECTIONS)
+            share = max(1, room // self.entry_hosts)
+            endpoint.pool.share = share
+            endpoint.pool.limit = max(share, int(room * LARGEST_SHARE))
+
+    # Sessions.
+
+    def session_rested(self, session: CallerSession) -> None:
+        """Note that a session has no statement left to handle."""
+
+    def session_ended(self, session: CallerSession) -> None:
+        """Forget a session."""
+        self.sessions.discard(session)
+
+    def count_refusal(self, failure: Failure) -> None:
+        """Note a refused session."""
+        log_event("session_refused", kind=failure.kind, reason=failure.reason)
+
+    def note_outcome(
+        self, session, statement, arrived_at, outcome, work
+    ) -> None:
+        """Log the decision on a statement; plain successes are sampled."""
+        if not is_failure(outcome):
+            self.successes += 1
+            if self.successes % SUCCESS_LOG_PERIOD:
+                return
+        failed = is_failure(outcome)
+        route = None if is_failure(work) else work.route
+        log_event(
+            "statement",
+            request=statement.request_id,
+            kind=statement.kind.name.lower(),
+            database=session.database,
+            service=route.service if route else "",
+            outcome=outcome.kind if failed else "ok",
+            reason=outcome.reason if failed else "",
+            attempts=0 if is_failure(work) else work.attempts,
+            duration_s=now() - arrived_at,
+            version=self.catalog.version if self.catalog else -1,
+        )
--- a/chivescale/telemetry/__init__.py
+++ b/chivescale/telemetry/__init__.py
@@ -1,7 +1,23 @@
 """Structured logs and metrics."""
 
+import typing
+
 from chivescale.telemetry._log import log_event
-from chivescale.telemetry._metrics import Metrics
 from chivescale.telemetry._setup import setup_logging
 
+if typing.TYPE_CHECKING:
+    from chivescale.telemetry._metrics import Metrics
+
 __all__ = ["Metrics", "log_event", "setup_logging"]
+
+
+def __getattr__(name: str) -> object:
+    """Import the metrics only where they are used.
+
+    Their libraries cost a quarter of a second of processor time at start.
+    """
+    if name != "Metrics":
+        raise AttributeError(name)
+    from chivescale.telemetry._metrics import Metrics
+
+    return Metrics
--- a/chivescale/telemetry/_setup.py
+++ b/chivescale/telemetry/_setup.py
@@ -2,6 +2,7 @@
 
 import logging
 import time
+import typing
 
 from absl import flags
 from absl import logging as absl_logging
@@ -11,7 +12,9 @@
 LEVELS = ("debug", "info", "warning", "error")
 
 
-def setup_logging(process: str, level: str = "info") -> None:
+def setup_logging(
+    process: str, level: str = "info", stream: typing.TextIO | None = None
+) -> None:
     """Write every log record to standard error as one line.
 
     A line starts with time (UTC), level and process name. Records of the
@@ -24,6 +27,8 @@
         Name in each line.
     level : {"debug", "info", "warning", "error"}
         Lowest level that is written.
+    stream : text file, optional
+        Where to write instead.
     """
     # absl prints a warning for each process that logs with unparsed flags;
     # the daemons have no absl flags.
@@ -32,6 +37,8 @@
     absl_logging.use_absl_handler()
     handler = absl_logging.get_absl_handler()
     handler.python_handler.setFormatter(LineFormatter(process))
+    if stream is not None:
+        handler.python_handler.stream = stream
     logging.getLogger().setLevel(level.upper())
     logging.captureWarnings(True)
 
