Leave the balancer when cut off; suspect silent endpoints; pack documents

Ruled out: refusing by zone (the host knows only what it reaches itself).

Change: a host that has lost the coordinators and some primary reports not ready and closes resting sessions once the balancer has noticed; an endpoint that is silent for 0.5 s gets no new work until a new connection succeeds; a read that takes much longer than usual is offered to a second endpoint within a retry budget; the log carries compressed documents; entry hosts prefer the coordinator of their zone; restarted members stand at once.

--- a/chivescale/agreement/_election.py
+++ b/chivescale/agreement/_election.py
@@ -63,6 +63,19 @@
     machine.deferred = False
 
 
+def start_timer(machine, now: float) -> None:
+    """Draw the time of the first attempt after a start.
+
+    All members may have been stopped together, and then nobody leads. A
+    leader that lives is heard within a heartbeat, and the others refuse a
+    pre-vote while they hear one.
+    """
+    if machine.formed:
+        retry_timer(machine, now)
+    else:
+        reset_timer(machine, now)
+
+
 def retry_timer(machine, now: float) -> None:
     """Draw the time of the next attempt."""
     base = machine.timing.heartbeat_s
--- a/chivescale/agreement/_machine.py
+++ b/chivescale/agreement/_machine.py
@@ -215,7 +215,7 @@
         meanwhile before it misses its leader.
         """
         if self.election_due is None:
-            _election.reset_timer(self, now)
+            _election.start_timer(self, now)
             return
         late = now - self.election_due > self.timing.heartbeat_s
         if late and not self.deferred:
--- a/chivescale/catalog/_state.py
+++ b/chivescale/catalog/_state.py
@@ -27,22 +27,19 @@
     ----------
     catalog : Catalog or None
         Configuration in force.
-    document : bytes
-        The same as the operator sent it, for reading back.
     """
 
-    __slots__ = ("catalog", "document")
+    __slots__ = ("catalog",)
 
     def __init__(self):
         self.catalog: Catalog | None = None
-        self.document = b""
 
     @property
     def version(self) -> int:
         """Version in force; -1 before the first one."""
         return self.catalog.version if self.catalog else -1
 
-    def store(self, catalog: Catalog, document: bytes) -> StoreResult:
+    def store(self, catalog: Catalog) -> StoreResult:
         """Put a configuration into force if its version is higher.
 
         A resent or overtaken configuration is a success without effect:
@@ -50,5 +47,5 @@
         """
         changed = catalog.version > self.version
         if changed:
-            self.catalog, self.document = catalog, document
+            self.catalog = catalog
         return StoreResult(self.version, changed)
--- a/chivescale/coordinator/_host.py
+++ b/chivescale/coordinator/_host.py
@@ -3,6 +3,7 @@
 import asyncio
 import pathlib
 import uuid
+import zlib
 
 import msgspec
 
@@ -24,7 +25,7 @@
     StoreOrder,
 )
 from chivescale.coordinator._promoter import Promoter
-from chivescale.coordinator._replicated import ReplicatedState
+from chivescale.coordinator._replicated import DecodeDocument, ReplicatedState
 from chivescale.coordinator._spread import Spread
 from chivescale.coordinator._upkeep import Upkeep
 from chivescale.dialect import EndpointDialect
@@ -60,6 +61,8 @@
     ----------
     name : str
         Name of the host, which is the holder of its promotions.
+    zone : str
+        Availability zone.
     address : str
         Own ``ip:port``, by which the other members know this host.
     seeds : tuple of str
@@ -72,6 +75,7 @@
     """
 
     name: str
+    zone: str
     address: str
     seeds: tuple[str, ...]
     data_dir: str
@@ -91,6 +95,8 @@
         How endpoints are spoken to.
     authority : PromotionAuthority
         Carries out promotions.
+    decode_document : callable
+        Decodes and checks a configuration as an operator sends it.
     """
 
     def __init__(
@@ -99,11 +105,13 @@
         client: HttpClient,
         dialect: EndpointDialect,
         authority: PromotionAuthority,
+        decode_document: DecodeDocument,
     ):
         self.settings = settings
         self.client = client
         self.boot = uuid.uuid4().hex[:12]
-        self.state = ReplicatedState()
+        self.decode_document = decode_document
+        self.state = ReplicatedState(decode_document)
         self.registry = Registry()
         self.agreement = self.new_agreement()
         self.spread = Spread(self)
@@ -123,8 +131,7 @@
     def new_agreement(self) -> AgreementHost:
         """Return a member that has not opened its folder yet."""
         settings = self.settings
-        self.state = ReplicatedState()
-        state = self.state
+        self.state = state = ReplicatedState(self.decode_document)
         return AgreementHost(
             settings.address,
             tuple(ControlMember(seed, seed) for seed in settings.seeds),
@@ -137,8 +144,8 @@
             ),
             Callbacks(
                 self._apply,
-                lambda: state.snapshot(),
-                lambda data: state.restore(data),
+                state.snapshot,
+                state.restore,
                 self._leadership_changed,
             ),
             address=settings.address,
@@ -215,7 +222,7 @@
         self, catalog: Catalog, document: bytes
     ) -> StoreResult | Failure:
         """Store a configuration; the answer of a quorum counts."""
-        order = StoreOrder(catalog, document)
+        order = StoreOrder(zlib.compress(document))
         if self.leading:
             result = await self._store(order)
         else:
@@ -231,7 +238,7 @@
         return result
 
     async def _store(self, order: StoreOrder) -> StoreResult | Failure:
-        command = encode(StoreCatalog(order.catalog, order.document))
+        command = encode(StoreCatalog(order.packed))
         outcome = await self.agreement.submit(command, now() + ORDER_TIMEOUT_S)
         return outcome if is_failure(outcome) else outcome.result
 
@@ -241,13 +248,15 @@
             answer = await self._read()
         else:
             answer = await self._ask_leader("/v1/read", DocumentAnswer, Done())
-        return answer if is_failure(answer) else answer.document
+        if is_failure(answer):
+            return answer
+        return zlib.decompress(answer.packed) if answer.packed else b""
 
     async def _read(self) -> DocumentAnswer | Failure:
         index = await self.agreement.confirm_read(now() + READ_TIMEOUT_S)
         if is_failure(index):
             return index
-        return DocumentAnswer(self.state.catalog.document)
+        return DocumentAnswer(self.state.packed)
 
     async def _ask_leader(self, path: str, reply_type, body):
         address = self.agreement.leader_address
--- a/chivescale/coordinator/_messages.py
+++ b/chivescale/coordinator/_messages.py
@@ -3,15 +3,20 @@
 import msgspec
 
 from chivescale.agreement import Member
-from chivescale.catalog import Catalog
 from chivescale.registry import EndpointBeat
 
 
 class StoreCatalog(msgspec.Struct, frozen=True, tag=True):
-    """Command: store a configuration."""
+    """Command: store a configuration.
 
-    catalog: Catalog
-    document: bytes
+    Attributes
+    ----------
+    packed : bytes
+        Compressed document as the operator sent it. Route documents repeat
+        their field names, so this is about a tenth of their size.
+    """
+
+    packed: bytes
 
 
 class OrderPromotion(msgspec.Struct, frozen=True, tag=True):
@@ -30,10 +35,9 @@
 
 
 class SnapshotState(msgspec.Struct, frozen=True):
-    """Content of a snapshot of the log."""
+    """Content of a snapshot of the log; empty before a configuration."""
 
-    catalog: Catalog | None
-    document: bytes
+    packed: bytes
 
 
 class Gossip(msgspec.Struct, frozen=True):
@@ -47,8 +51,12 @@
         Entry hosts and how long ago each was heard, in seconds.
     suspects : tuple of str or None
         Sent by the leader.
+    sender, zone : str
+        Address and availability zone of the coordinator.
     """
 
+    sender: str = ""
+    zone: str = ""
     beats: tuple[EndpointBeat, ...] = ()
     hosts: dict[str, float] = {}
     suspects: tuple[str, ...] | None = None
@@ -61,13 +69,12 @@
 
 
 class StoreOrder(msgspec.Struct, frozen=True):
-    """A configuration forwarded to the leader."""
+    """A configuration forwarded to the leader, compressed."""
 
-    catalog: Catalog
-    document: bytes
+    packed: bytes
 
 
 class DocumentAnswer(msgspec.Struct, frozen=True):
-    """The configuration in force, confirmed by a quorum."""
+    """The configuration in force, compressed, confirmed by a quorum."""
 
-    document: bytes
+    packed: bytes
--- a/chivescale/coordinator/_replicated.py
+++ b/chivescale/coordinator/_replicated.py
@@ -1,27 +1,44 @@
 """The state that the log replicates."""
 
-from chivescale.catalog import CatalogState
+import collections.abc
+import zlib
+
+from chivescale.catalog import Catalog, CatalogState
 from chivescale.coordinator._messages import (
     Command,
     OrderPromotion,
     SnapshotState,
     StoreCatalog,
 )
-from chivescale.errors import is_failure
+from chivescale.errors import Failure, is_failure
 from chivescale.messages import decode, encode
 
+DecodeDocument = collections.abc.Callable[[bytes], Catalog | Failure]
+
 
 class ReplicatedState:
     """Applies the commands of the log.
 
+    Parameters
+    ----------
+    decode_document : callable
+        Decodes a document that an operator sent; the same on all members.
+
     Attributes
     ----------
     catalog : CatalogState
         Configuration in force.
+    packed : bytes
+        Its document, compressed.
+    packed_catalog : bytes
+        The decoded configuration, compressed, as entry hosts get it.
     """
 
-    def __init__(self):
+    def __init__(self, decode_document: DecodeDocument):
+        self.decode_document = decode_document
         self.catalog = CatalogState()
+        self.packed = b""
+        self.packed_catalog = b""
 
     def apply(self, index: int, data: bytes):
         """Apply one command; return its result."""
@@ -31,15 +48,24 @@
             # on with another state than the others.
             raise AssertionError(f"log entry {index}: {command.reason}")
         match command:
-            case StoreCatalog(catalog, document):
-                return self.catalog.store(catalog, document)
+            case StoreCatalog(packed):
+                return self._store(packed)
             case OrderPromotion():
                 return index
 
+    def _store(self, packed: bytes):
+        catalog = self.decode_document(zlib.decompress(packed))
+        if is_failure(catalog):
+            raise AssertionError(f"stored document: {catalog.reason}")
+        result = self.catalog.store(catalog)
+        if result.changed:
+            self.packed = packed
+            self.packed_catalog = zlib.compress(encode(catalog))
+        return result
+
     def snapshot(self) -> bytes:
         """Encode the state."""
-        catalog = self.catalog
-        return encode(SnapshotState(catalog.catalog, catalog.document))
+        return encode(SnapshotState(self.packed))
 
     def restore(self, data: bytes) -> None:
         """Replace the state."""
@@ -47,5 +73,5 @@
         if is_failure(state):
             raise AssertionError(f"snapshot: {state.reason}")
         self.catalog = CatalogState()
-        if state.catalog is not None:
-            self.catalog.store(state.catalog, state.document)
+        if state.packed:
+            self._store(state.packed)
--- a/chivescale/coordinator/_spread.py
+++ b/chivescale/coordinator/_spread.py
@@ -17,8 +17,13 @@
 # Upper limit of a long poll; a host that waits longer could not tell a
 # silent connection from a quiet system.
 MAX_WATCH_S = 1.0
+# How often a waiting poll looks whether contact was lost.
+CONTACT_CHECK_S = 0.25
 # Entry hosts that were not heard for this long are not counted any more.
 HOST_KEPT_S = 5.0
+# A coordinator that has not heard of a quorum for this long tells the entry
+# hosts, so that they turn to another one.
+LOST_CONTACT_S = 0.5
 # Period in which coordinators tell each other which entry hosts they heard.
 EXCHANGE_S = 1.0
 # Another coordinator answers within this time or counts as out of reach.
@@ -40,6 +45,8 @@
     ----------
     hosts : dict of str to float
         When each entry host was heard, by any coordinator.
+    zones : dict of str to str
+        Zones of the coordinators by address.
     suspects : tuple of str
         Endpoints about which the leader wants an opinion.
     """
@@ -48,6 +55,8 @@
         self.host = host
         self.hosts: dict[str, float] = {}
         self.suspects: tuple[str, ...] = ()
+        own = host.settings
+        self.zones: dict[str, str] = {own.address: own.zone}
         self.waiters: set[asyncio.Future] = set()
         self.tasks: set[asyncio.Task] = set()
 
@@ -65,10 +74,11 @@
             waiter = asyncio.get_running_loop().create_future()
             self.waiters.add(waiter)
             try:
-                async with asyncio.timeout(max(0.0, deadline - now())):
+                left = max(0.0, deadline - now())
+                async with asyncio.timeout(min(left, CONTACT_CHECK_S)):
                     await waiter
             except TimeoutError:
-                break
+                continue
             finally:
                 self.waiters.discard(waiter)
         return self._answer(request)
@@ -76,7 +86,8 @@
     def _has_news(self, request: WatchRequest) -> bool:
         host = self.host
         return (
-            request.boot != host.boot
+            host.contact_age_s() > LOST_CONTACT_S
+            or request.boot != host.boot
             or request.revision < host.registry.revision
             or request.version < host.state.catalog.version
             or request.suspects != self.suspects
@@ -91,13 +102,18 @@
             boot=host.boot,
             revision=host.registry.revision,
             catalog=(
-                catalog.catalog if request.version < catalog.version else None
+                host.state.packed_catalog
+                if request.version < catalog.version
+                else b""
             ),
             endpoints=tuple(
                 _news(view, time)
                 for view in host.registry.changed_since(since)
             ),
-            members=self._members(),
+            members={
+                address: self.zones.get(address, "")
+                for address in self._members()
+            },
             leader=host.agreement.leader_address,
             age_s=min(host.contact_age_s(), 1e6),
             entry_hosts=len(self.hosts),
@@ -168,6 +184,8 @@
         for name, age_s in gossip.hosts.items():
             heard = time - age_s
             self.hosts[name] = max(self.hosts.get(name, heard), heard)
+        if gossip.sender:
+            self.zones[gossip.sender] = gossip.zone
         if gossip.suspects is not None:
             news.append(gossip.suspects != self.suspects)
             self.suspects = gossip.suspects
@@ -185,6 +203,8 @@
                     del self.hosts[name]
                     log_event("entry_host_silent", host=name)
             gossip = Gossip(
+                sender=self.host.settings.address,
+                zone=self.host.settings.zone,
                 hosts={name: time - at for name, at in self.hosts.items()},
                 suspects=self.suspects if self.host.leading else None,
             )
--- a/chivescale/messages/_watch.py
+++ b/chivescale/messages/_watch.py
@@ -2,7 +2,6 @@
 
 import msgspec
 
-from chivescale.catalog import Catalog
 from chivescale.registry import EndpointBeat
 
 
@@ -55,12 +54,12 @@
     ----------
     boot, revision
         What the host has to ask with next.
-    catalog : Catalog or None
-        Configuration, if the host knows an older one.
+    catalog : bytes
+        Compressed `Catalog`; empty unless the host knows an older one.
     endpoints : tuple of EndpointNews
         Endpoints that changed since the revision asked with.
-    members : tuple of str
-        Addresses of the coordinators.
+    members : dict of str to str
+        Addresses of the coordinators and their zones, as far as known.
     leader : str
         Address of the leading coordinator; empty if unknown.
     age_s : float
@@ -73,9 +72,9 @@
 
     boot: str
     revision: int
-    catalog: Catalog | None
+    catalog: bytes
     endpoints: tuple[EndpointNews, ...]
-    members: tuple[str, ...]
+    members: dict[str, str]
     leader: str
     age_s: float
     entry_hosts: int
--- a/chivescale/relay/_endpoint.py
+++ b/chivescale/relay/_endpoint.py
@@ -1,7 +1,10 @@
 """What an entry host knows of the endpoints of a service."""
 
+import asyncio
 import random
 
+import msgspec
+
 from chivescale.clock import now
 from chivescale.dialect import EndpointDialect
 from chivescale.errors import ErrorKind, Failure, is_failure
@@ -10,6 +13,7 @@
 from chivescale.registry import EndpointBeat
 from chivescale.relay._freshness import PrimarySample
 from chivescale.relay._pool import LinkPool
+from chivescale.telemetry import log_event
 
 # Expected latency of an endpoint of which nothing was heard lately.
 BASE_LATENCY_S = 0.015
@@ -25,6 +29,31 @@
 BEHIND_S = 0.05
 # Without a claim, an endpoint that refused a write is tried again after this.
 REFUSED_S = 0.5
+# An endpoint that has answered nothing for this long while a statement runs
+# is taken for unreachable. Pauses of up to 300 ms are normal.
+SILENT_S = 0.5
+# A suspected endpoint is tried over a new connection at this interval.
+TRIAL_TIMEOUT_S = 0.3
+TRIAL_PAUSE_S = 0.2
+
+
+class Running(msgspec.Struct, eq=False):
+    """A statement under way.
+
+    Attributes
+    ----------
+    started : float
+        When it was sent.
+    link : Link
+        Where it runs.
+    revocable : bool
+        Whether ending it leaves nothing behind: a read, or a statement of
+        a transaction that nobody has asked to commit.
+    """
+
+    started: float
+    link: Link
+    revocable: bool
 
 
 class Endpoint:
@@ -38,8 +67,10 @@
         When it began to call itself primary; 0 if it does not.
     position : Position or None
         Last log entry known to be applied.
-    outstanding : int
-        Statements under way from this host.
+    running : dict of Running to None
+        Statements under way from this host, the oldest first.
+    suspected : bool
+        Whether it seems unreachable.
     refused_at : float
         When it last said that it is not the primary.
     wrong : bool
@@ -51,12 +82,15 @@
         self.dialect = dialect
         self.primary_since = 0.0
         self.position: Position | None = None
-        self.outstanding = 0
         self.latency_s = BASE_LATENCY_S
         self.measured_at = 0.0
         self.refused_at = 0.0
         self.behind_until = 0.0
         self.wrong = False
+        self.running: dict[Running, None] = {}
+        self.answered_at = 0.0
+        self.suspected = False
+        self.trial: asyncio.Task | None = None
         self.pool = LinkPool(self._open)
 
     async def _open(self, timeout_s: float) -> Link | Failure:
@@ -64,13 +98,78 @@
         link = await open_link(
             self.dialect, beat.address, beat.service, beat.endpoint, timeout_s
         )
-        if is_failure(link) and link.kind is ErrorKind.WRONG_ENDPOINT:
-            self.wrong = True
+        if is_failure(link):
+            if link.kind is ErrorKind.WRONG_ENDPOINT:
+                self.wrong = True
+            elif link.kind is ErrorKind.UNREACHABLE:
+                self.suspect(link.reason)
         return link
 
     def usable(self, time: float) -> bool:
         """Tell whether new work may be sent."""
-        return not self.wrong and not self.pool.failing(time)
+        if self.wrong or self.suspected:
+            return False
+        return not self.pool.failing(time)
+
+    @property
+    def outstanding(self) -> int:
+        """Statements under way from this host."""
+        return len(self.running)
+
+    def check_silence(self, time: float) -> None:
+        """Suspect the endpoint if a statement has waited for too long."""
+        if self.suspected or not self.running:
+            return
+        oldest = next(iter(self.running))
+        heard = max(oldest.started, self.answered_at)
+        if time - heard > SILENT_S:
+            self.suspect(f"no answer for {time - heard:.3f} s")
+
+    def suspect(self, reason: str) -> None:
+        """Send no new work until a new connection proves the endpoint."""
+        if self.suspected:
+            return
+        self.suspected = True
+        log_event(
+            "endpoint_suspected",
+            "warning",
+            endpoint=self.beat.endpoint,
+            service=self.beat.service,
+            running=len(self.running),
+            reason=reason,
+        )
+        self.pool.drop_idle()
+        for running in list(self.running):
+            if running.revocable:
+                running.link.abort()
+        self.trial = asyncio.ensure_future(self._try())
+
+    async def _try(self) -> None:
+        while True:
+            beat = self.beat
+            link = await open_link(
+                self.dialect,
+                beat.address,
+                beat.service,
+                beat.endpoint,
+                TRIAL_TIMEOUT_S,
+            )
+            if not is_failure(link) or (
+                link.kind is not ErrorKind.UNREACHABLE
+            ):
+                break
+            await asyncio.sleep(TRIAL_PAUSE_S)
+        if not is_failure(link):
+            self.pool.add(link)
+        self.answered_at = now()
+        self.suspected = False
+        log_event("endpoint_trusted", endpoint=self.beat.endpoint)
+
+    def close(self) -> None:
+        """Close the links and stop trying."""
+        if self.trial is not None:
+            self.trial.cancel()
+        self.pool.close()
 
     def note_answer(
         self, position: Position | None, latency_s: float, time: float
@@ -80,7 +179,7 @@
             self.position = position
         average = self.expected_latency_s(time)
         self.latency_s = average + LATENCY_WEIGHT * (latency_s - average)
-        self.measured_at = time
+        self.measured_at = self.answered_at = time
 
     def expected_latency_s(self, time: float) -> float:
         """Return the latency, the less weighted the older it is."""
--- a/chivescale/relay/_executor.py
+++ b/chivescale/relay/_executor.py
@@ -9,10 +9,16 @@
 from chivescale.errors import ErrorKind, Failure, is_failure
 from chivescale.link import Link
 from chivescale.messages import Position
-from chivescale.relay._endpoint import BEHIND_S, Endpoint, Service
+from chivescale.relay._endpoint import (
+    BEHIND_S,
+    Endpoint,
+    Running,
+    Service,
+)
 from chivescale.relay._prepare import Need, forwarded_text, prepare_link
 from chivescale.relay._transaction import Transaction
 from chivescale.relay._work import Outcome, Work, refusal_of
+from chivescale.retry import RetryBudget
 from chivescale.telemetry import log_event
 
 # A sample of the primary's position is renewed in the background once it
@@ -22,6 +28,13 @@
 BARRIER_TIMEOUT_S = 0.25
 # Endpoints that one statement is offered to.
 MAX_ATTEMPTS = 4
+# A read is offered to a second endpoint after this time plus a multiple of
+# the latency expected of the first one.
+HEDGE_S = 0.08
+HEDGE_FACTOR = 3.0
+# Share of reads that may be offered twice, and how many at once.
+HEDGE_SHARE = 0.1
+HEDGE_BURST = 10.0
 # Statements of the system itself end within this time.
 OWN_TIMEOUT_S = 1.0
 
@@ -51,6 +64,7 @@
 
     def __init__(self, service_of: collections.abc.Callable[[str], Service]):
         self.service_of = service_of
+        self.retries = RetryBudget(HEDGE_SHARE, HEDGE_BURST)
         self.barriers: dict[str, asyncio.Task] = {}
         self.tasks: set[asyncio.Task] = set()
 
@@ -119,26 +133,64 @@
         )
         if is_failure(need):
             return await self._read_on_primary(service, work)
-        excluded: set[str] = set()
-        failure = None
-        while work.attempts < MAX_ATTEMPTS:
-            failure = work.expired() or failure
-            endpoints = service.readers(need, excluded, now())
-            if not endpoints or work.expired():
-                break
-            endpoint = endpoints[0]
-            excluded.add(endpoint.beat.endpoint)
-            work.attempts += 1
-            outcome = await self._read_once(endpoint, work, need)
-            if not is_failure(outcome) or not _may_repeat_read(outcome):
-                return outcome
-            failure = outcome
+        self.retries.record_request()
+        outcome = await self._read_anywhere(service, work, need)
+        failure = outcome if is_failure(outcome) else None
+        if failure is None or not _may_repeat_read(failure):
+            return outcome
         if failure is not None and failure.kind in (
             ErrorKind.ENDPOINT_BEHIND,
             ErrorKind.READ_INTERRUPTED,
         ):
             return await self._read_on_primary(service, work)
-        return failure or no_endpoint(service)
+        return failure
+
+    async def _read_anywhere(
+        self, service: Service, work: Work, need: Position
+    ) -> Outcome:
+        """Offer a read to one endpoint after the other.
+
+        One that takes much longer than usual is not waited for alone: a
+        second endpoint gets the read too, within the retry budget.
+        """
+        excluded: set[str] = set()
+        running: set[asyncio.Task] = set()
+        failure = no_endpoint(service)
+        while True:
+            time = now()
+            more = work.attempts < MAX_ATTEMPTS and not work.expired()
+            endpoints = service.readers(need, excluded, time) if more else []
+            if endpoints and (not running or self.retries.try_retry()):
+                endpoint = endpoints[0]
+                excluded.add(endpoint.beat.endpoint)
+                work.attempts += 1
+                attempt = self._read_once(endpoint, work, need)
+                task = asyncio.ensure_future(attempt)
+                running.add(task)
+                wait_s = HEDGE_S + HEDGE_FACTOR * endpoint.expected_latency_s(
+                    time
+                )
+            else:
+                wait_s = None
+            if not running:
+                return work.expired() or failure
+            done, running = await asyncio.wait(
+                running,
+                timeout=wait_s,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            for task in done:
+                outcome = task.result()
+                if not is_failure(outcome) or not _may_repeat_read(outcome):
+                    self._keep_running(running)
+                    return outcome
+                failure = outcome
+
+    def _keep_running(self, tasks: set[asyncio.Task]) -> None:
+        """Let attempts end whose answer is not needed any more."""
+        self.tasks |= tasks
+        for task in tasks:
+            task.add_done_callback(self.tasks.discard)
 
     async def _read_once(
         self, endpoint: Endpoint, work: Work, need: Position
@@ -274,20 +326,20 @@
         staleness_s = route.max_staleness_ms / 1000
         sample = service.sample
         if not sample.covers(arrived_at, staleness_s):
-            failure = await self._barrier(service)
+            failure = await self.barrier(service)
             if not sample.covers(arrived_at, staleness_s):
                 return failure or Failure(
                     ErrorKind.FRESHNESS_UNPROVED, "no sample of the primary"
                 )
         elif sample.age_s(arrived_at) > RENEW_SHARE * staleness_s:
-            self._start_barrier(service)
+            self.start_barrier(service)
         need = sample.position
         own = session.positions.get(service.name)
         if route.consistency is Consistency.SESSION and own is not None:
             need = max(need, own)
         return need
 
-    def _start_barrier(self, service: Service) -> asyncio.Task:
+    def start_barrier(self, service: Service) -> asyncio.Task:
         """Ask the primary for its position; one question at a time."""
         task = self.barriers.get(service.name)
         if task is None or task.done():
@@ -295,8 +347,8 @@
             self.barriers[service.name] = task
         return task
 
-    async def _barrier(self, service: Service) -> Failure | None:
-        task = self._start_barrier(service)
+    async def barrier(self, service: Service) -> Failure | None:
+        task = self.start_barrier(service)
         try:
             async with asyncio.timeout(BARRIER_TIMEOUT_S):
                 return await asyncio.shield(task)
@@ -388,13 +440,14 @@
         if work.expired():
             return work.expired()
         started = now()
-        endpoint.outstanding += 1
+        running = Running(started, link, work.revocable)
+        endpoint.running[running] = None
         try:
             reply = await link.statement(
                 text, work.left_s(started), work.statement.request_id
             )
         finally:
-            endpoint.outstanding -= 1
+            del endpoint.running[running]
         if is_failure(reply):
             return reply
         time = now()
--- a/chivescale/relay/_follower.py
+++ b/chivescale/relay/_follower.py
@@ -1,7 +1,9 @@
 """Follows the coordinators: configuration, endpoints, suspicions."""
 
 import asyncio
+import zlib
 
+from chivescale.catalog import Catalog
 from chivescale.clock import now
 from chivescale.errors import is_failure
 from chivescale.link import open_link
@@ -10,17 +12,20 @@
     OpinionReport,
     WatchAnswer,
     WatchRequest,
+    decode,
 )
 from chivescale.telemetry import log_event
 
 # A long poll is held by the coordinator for up to this long.
-WATCH_MS = 1000
+WATCH_MS = 700
 # Beyond the hold, an answer may take this long.
-WATCH_SLACK_S = 0.6
+WATCH_SLACK_S = 0.4
 # A coordinator that has not been in contact with a quorum for longer does
 # not know what is in force; another one is asked.
-MAX_AGE_S = 0.8
+MAX_AGE_S = 0.5
 RETRY_PAUSE_S = 0.1
+# The coordinator of the own zone is tried again this long after it failed.
+OWN_ZONE_RETRY_S = 5.0
 # A suspected endpoint is reachable if it answers within this time, or did so
 # no longer ago.
 OPINION_TIMEOUT_S = 0.15
@@ -44,6 +49,8 @@
         self.suspects: tuple[str, ...] = ()
         self.leader = ""
         self.connected = False
+        self.fresh_at = now()
+        self.retry_own_zone_at = 0.0
         self.waits = False
         self.tasks: set[asyncio.Task] = set()
 
@@ -65,6 +72,7 @@
                 self._switch()
                 await asyncio.sleep(RETRY_PAUSE_S)
                 continue
+            self.fresh_at = now() - answer.age_s
             self._note_connection(True, address, "")
             self.waits = True
 
@@ -108,11 +116,11 @@
 
     def _apply(self, answer: WatchAnswer) -> None:
         host = self.host
-        if answer.catalog is not None and (
+        if answer.catalog and (
             host.catalog is not None or answer.age_s <= MAX_AGE_S
         ):
             # A host that just started must not begin with an old one.
-            host.apply_catalog(answer.catalog)
+            self._apply_catalog(answer.catalog)
         for news in answer.endpoints:
             host.apply_news(news)
         self.boot, self.revision = answer.boot, answer.revision
@@ -127,17 +135,35 @@
                 self.tasks.add(task)
                 task.add_done_callback(self.tasks.discard)
 
-    def _update_members(self, members: tuple[str, ...]) -> None:
+    def _apply_catalog(self, packed: bytes) -> None:
+        catalog = decode(zlib.decompress(packed), Catalog)
+        if is_failure(catalog):
+            log_event("catalog_unreadable", "error", reason=catalog.reason)
+            return
+        self.host.apply_catalog(catalog)
+
+    def _update_members(self, members: dict[str, str]) -> None:
         known = set(self.members)
         if set(members) - known:
             new = [m for m in members if m not in known]
             self.members += new
         stale = known - set(members) - set(self.host.settings.seeds)
-        if stale:
-            current = self.members[self.current % len(self.members)]
-            self.members = [m for m in self.members if m not in stale]
-            if current in self.members:
-                self.current = self.members.index(current)
+        current = self.members[self.current % len(self.members)]
+        self.members = [m for m in self.members if m not in stale]
+        if current in self.members:
+            self.current = self.members.index(current)
+        self._prefer_own_zone(members, current)
+
+    def _prefer_own_zone(self, members: dict[str, str], current: str) -> None:
+        """Return to the coordinator of the own zone once it works again."""
+        zone = self.host.settings.zone
+        if members.get(current) == zone or now() < self.retry_own_zone_at:
+            return
+        near = [a for a, z in members.items() if z == zone]
+        if near:
+            self.retry_own_zone_at = now() + OWN_ZONE_RETRY_S
+            self.current = self.members.index(near[0])
+            self.waits = False
 
     # Opinions.
 
--- a/chivescale/relay/_host.py
+++ b/chivescale/relay/_host.py
@@ -14,6 +14,7 @@
 from chivescale.relay._endpoint import Endpoint, Service
 from chivescale.relay._executor import Executor
 from chivescale.relay._follower import Follower
+from chivescale.relay._reachability import Reachability
 from chivescale.relay._session import CallerSession
 from chivescale.telemetry import log_event
 
@@ -90,6 +91,7 @@
         self.sessions: set[CallerSession] = set()
         self.executor = Executor(self.service)
         self.follower = Follower(self)
+        self.reachability = Reachability(self)
         self.server: asyncio.Server | None = None
         self.tasks: list[asyncio.Task] = []
         self.stopping = False
@@ -107,13 +109,18 @@
         )
         self.tasks = [
             asyncio.ensure_future(self.follower.run()),
+            asyncio.ensure_future(self.reachability.run()),
             asyncio.ensure_future(self._upkeep()),
         ]
 
     @property
     def ready(self) -> bool:
         """Whether callers should be sent here."""
-        return self.catalog is not None and not self.stopping
+        return (
+            self.catalog is not None
+            and not self.stopping
+            and self.reachability.cut_off_since is None
+        )
 
     def _accept(self):
         session = CallerSession(self, self.callers)
@@ -153,7 +160,7 @@
         for task in self.tasks:
             task.cancel()
         for endpoint in self.by_id.values():
-            endpoint.pool.close()
+            endpoint.close()
         await self.client.close()
 
     async def _upkeep(self) -> None:
@@ -248,7 +255,7 @@
         name = endpoint.beat.endpoint
         del self.by_id[name]
         self.service(endpoint.beat.service).endpoints.pop(name, None)
-        endpoint.pool.close()
+        endpoint.close()
         log_event("endpoint_forgotten", endpoint=name)
 
     def set_entry_hosts(self, count: int) -> None:
--- a/chivescale/relay/_session.py
+++ b/chivescale/relay/_session.py
@@ -66,6 +66,7 @@
         self.channel = LineChannel(
             self._on_line, self._on_lost, dialect.max_message_bytes
         )
+        self.opened_at = now()
         self.database = ""
         self.values: dict[str, str] = {}
         self.definitions: dict[str, Definition] = {}
--- a/chivescale/relay/_work.py
+++ b/chivescale/relay/_work.py
@@ -4,7 +4,7 @@
 
 from chivescale.catalog import Route
 from chivescale.clock import now
-from chivescale.dialect import Reply, Statement
+from chivescale.dialect import Reply, Statement, StatementKind
 from chivescale.errors import ErrorKind, Failure
 from chivescale.relay._prepare import Definition
 
@@ -44,6 +44,13 @@
     definition: Definition | None = None
     attempts: int = 0
 
+    @property
+    def revocable(self) -> bool:
+        """Whether ending the statement early leaves nothing behind."""
+        if self.statement.kind is StatementKind.COMMIT:
+            return False
+        return not self.writes or self.session.transaction is not None
+
     def left_s(self, time: float) -> float:
         """Return the time left for an answer."""
         limit = self.route.statement_timeout_ms / 1000
