Hold new sessions until the first configuration; serve counters

A reply with a failure between coordinators raised TypeError (membership test on an enumeration), so forwarded orders ended as 500.

--- a/chivescale/coordinator/_promoter.py
+++ b/chivescale/coordinator/_promoter.py
@@ -32,6 +32,8 @@
 TAKEOVER_TIMEOUT_S = 3.0
 TAKEOVER_POLL_S = 0.05
 RETRY_PAUSE_S = 0.2
+# Endpoints report every 1.2 s; one that leads has been heard after three.
+NO_CLAIM_S = 4.0
 
 
 class Watched(msgspec.Struct):
@@ -64,6 +66,7 @@
         self.authority: PromotionAuthority = authority
         self.watched: dict[str, Watched] = {}
         self.links: dict[str, Link] = {}
+        self.unclaimed_since: dict[str, float] = {}
         self.task: asyncio.Task | None = None
 
     def begin(self) -> None:
@@ -84,6 +87,7 @@
         for link in self.links.values():
             link.close()
         self.links.clear()
+        self.unclaimed_since.clear()
         self.host.spread.share_suspects(())
 
     def note_opinions(self, report: OpinionReport) -> None:
@@ -129,8 +133,10 @@
         if watched is not None and watched.replacement is not None:
             return watched
         view = self._primary(service)
+        if view is not None:
+            self.unclaimed_since.pop(service, None)
         if view is None:
-            return watched
+            return watched or self._watch_none(service)
         beat = view.beat
         if watched is None or (watched.endpoint, watched.born_ms) != (
             beat.endpoint,
@@ -148,6 +154,23 @@
             )
         return watched
 
+    def _watch_none(self, service: str) -> Watched | None:
+        """Replace a primary that nobody has seen.
+
+        It may have ended while no coordinator was up to hear of it.
+        """
+        if not self.host.registry.of_service(service):
+            return None
+        time = now()
+        since = self.unclaimed_since.setdefault(service, time)
+        if time - since < NO_CLAIM_S:
+            return None
+        del self.unclaimed_since[service]
+        log_event("no_primary_claims", "warning", service=service)
+        watched = Watched(service, "", 0, PrimaryDetector(time))
+        self.watched[service] = watched
+        return watched
+
     def _primary(self, service: str) -> EndpointView | None:
         """Return the endpoint that called itself primary last."""
         claims = [
--- a/chivescale/httpio/_client.py
+++ b/chivescale/httpio/_client.py
@@ -56,12 +56,14 @@
         if answer.status == 200:
             return decode(answer.body, reply_type)
         named = decode(answer.body, ErrorBody)
-        if is_failure(named) or named.kind not in ErrorKind:
+        if is_failure(named):
             reason = f"{address}{path}: status {answer.status}"
             return Failure(ErrorKind.MESSAGE_INVALID, reason)
-        return Failure(
-            ErrorKind(named.kind), named.reason, redirect=named.leader_address
-        )
+        try:
+            kind = ErrorKind(named.kind)
+        except ValueError:
+            return Failure(ErrorKind.INTERNAL, f"{named.kind}: {named.reason}")
+        return Failure(kind, named.reason, redirect=named.leader_address)
 
     async def send(
         self,
--- a/chivescale/httpio/_server.py
+++ b/chivescale/httpio/_server.py
@@ -182,7 +182,8 @@
 
     def _send(self, response: HttpResponse) -> None:
         headers = [("Content-Length", str(len(response.body)))]
-        if response.body:
+        names = {name.lower() for name, _ in response.headers}
+        if response.body and "content-type" not in names:
             headers.append(("Content-Type", "application/json"))
         headers += response.headers
         parts = [
--- a/chivescale/relay/_host.py
+++ b/chivescale/relay/_host.py
@@ -16,7 +16,7 @@
 from chivescale.relay._follower import Follower
 from chivescale.relay._reachability import Reachability
 from chivescale.relay._session import CallerSession
-from chivescale.telemetry import log_event
+from chivescale.telemetry import COUNTERS, log_decision, log_event
 
 UPKEEP_PERIOD_S = 1.0
 # Connections of an endpoint that entry hosts leave to coordinators and to
@@ -31,6 +31,10 @@
 # notices only after two probes that it is not ready.
 ACCEPT_AFTER_STOP_S = 2.5
 STOP_POLL_S = 0.05
+# After a start, callers wait this long for the first configuration. An
+# election and the way of the configuration take about a second; a caller
+# waits two.
+START_WAIT_S = 1.5
 
 
 class RelaySettings(msgspec.Struct, frozen=True):
@@ -97,6 +101,8 @@
         self.stopping = False
         self.entry_hosts = 1
         self.successes = 0
+        self.started_at = now()
+        self.waiting_sessions: list[tuple[CallerSession, str]] = []
 
     # Life.
 
@@ -122,6 +128,17 @@
             and self.reachability.cut_off_since is None
         )
 
+    @property
+    def starting(self) -> bool:
+        """Whether the first configuration is still expected."""
+        return self.catalog is None and now() - self.started_at < START_WAIT_S
+
+    def _greet_waiting(self) -> None:
+        """Answer the callers that came before the first configuration."""
+        waiting, self.waiting_sessions = self.waiting_sessions, []
+        for session, database in waiting:
+            session.greet(database)
+
     def _accept(self):
         session = CallerSession(self, self.callers)
         self.sessions.add(session)
@@ -169,6 +186,8 @@
             time = now()
             for endpoint in self.by_id.values():
                 endpoint.pool.trim(time)
+            if not self.starting:
+                self._greet_waiting()
 
     # Configuration and endpoints.
 
@@ -187,6 +206,7 @@
             for options in catalog.services
         }
         self._share_connections()
+        self._greet_waiting()
         log_event(
             "catalog_in_force",
             version=catalog.version,
@@ -283,20 +303,27 @@
 
     def count_refusal(self, failure: Failure) -> None:
         """Note a refused session."""
-        log_event("session_refused", kind=failure.kind, reason=failure.reason)
+        COUNTERS.count("sessions_refused", failure.kind)
+        log_decision(
+            "session_refused", kind=failure.kind, reason=failure.reason
+        )
 
     def note_outcome(
         self, session, statement, arrived_at, outcome, work
     ) -> None:
         """Log the decision on a statement; plain successes are sampled."""
-        if not is_failure(outcome):
+        failed = is_failure(outcome)
+        duration_s = now() - arrived_at
+        route = None if is_failure(work) else work.route
+        consistency = route.consistency if route else "none"
+        COUNTERS.count("statements", outcome.kind if failed else "ok")
+        COUNTERS.observe("statement", consistency, duration_s)
+        if not failed:
             self.successes += 1
             if self.successes % SUCCESS_LOG_PERIOD:
                 return
-        failed = is_failure(outcome)
-        route = None if is_failure(work) else work.route
-        log_event(
-            "statement",
+        log_decision(
+            "statement_failed" if failed else "statement",
             request=statement.request_id,
             kind=statement.kind.name.lower(),
             database=session.database,
@@ -304,6 +331,7 @@
             outcome=outcome.kind if failed else "ok",
             reason=outcome.reason if failed else "",
             attempts=0 if is_failure(work) else work.attempts,
-            duration_s=now() - arrived_at,
+            duration_s=duration_s,
+            consistency=consistency,
             version=self.catalog.version if self.catalog else -1,
         )
--- a/chivescale/relay/_session.py
+++ b/chivescale/relay/_session.py
@@ -19,7 +19,7 @@
 from chivescale.relay._prepare import Definition
 from chivescale.relay._transaction import Transaction
 from chivescale.relay._work import Work
-from chivescale.telemetry import log_event
+from chivescale.telemetry import log_decision, log_event
 
 # A caller that sends more statements without waiting is cut off.
 MAX_QUEUED = 64
@@ -120,7 +120,9 @@
 
     def _refuse_input(self, failure: Failure) -> None:
         """Answer what cannot be read; before the start, close as well."""
-        log_event("caller_message_invalid", "warning", reason=failure.reason)
+        log_decision(
+            "caller_message_invalid", "warning", reason=failure.reason
+        )
         opened = bool(self.database)
         state = self.state if opened else None
         self.channel.send(self.dialect.encode_failure(failure, state))
@@ -128,6 +130,17 @@
             self.close()
 
     def _open(self, database: str) -> None:
+        if self.host.starting:
+            # The configuration is on its way; a refusal would only make
+            # every caller come back at once.
+            self.host.waiting_sessions.append((self, database))
+            return
+        self.greet(database)
+
+    def greet(self, database: str) -> None:
+        """Accept or refuse the session."""
+        if self.closed:
+            return
         route = self.host.route_of(database)
         if is_failure(route):
             self.host.count_refusal(route)
