Test the new subpackages; let a late watcher distrust itself

Cause: the relay, coordinator and adapter had no tests of their own. A watcher on a host short of processor time took its own lateness for silence of the primary (make test beside 5 busy processes replaced a live primary).

The timers' lateness extends a watcher's time-outs, decaying with a half-life of 1 s.

--- a/chivescale/control/_host.py
+++ b/chivescale/control/_host.py
@@ -56,7 +56,8 @@
         self.metrics = metrics
         self.state = ClusterState()
         self.leadership: Leadership | None = None
-        self.waiters: set[asyncio.Future] = set()
+        # In order of arrival, so that runs from one seed repeat.
+        self.waiters: dict[asyncio.Future, None] = {}
         self.stopping = False
         tls = settings.tls
         count = metrics.count_control if metrics is not None else None
@@ -211,7 +212,7 @@
 
     async def _wait(self, timeout_s: float) -> bool:
         waiter = asyncio.get_running_loop().create_future()
-        self.waiters.add(waiter)
+        self.waiters[waiter] = None
         try:
             async with asyncio.timeout(timeout_s):
                 await waiter
@@ -219,10 +220,10 @@
         except TimeoutError:
             return False
         finally:
-            self.waiters.discard(waiter)
+            self.waiters.pop(waiter, None)
 
     def _notify(self) -> None:
-        waiters, self.waiters = self.waiters, set()
+        waiters, self.waiters = self.waiters, {}
         for waiter in waiters:
             if not waiter.done():
                 waiter.set_result(None)
--- a/chivescale/entry/_callers.py
+++ b/chivescale/entry/_callers.py
@@ -36,7 +36,7 @@
         self.environment = environment
         self.ready = ready
         self.run_call = build_request_path()
-        self.sessions: set[CallerSession] = set()
+        self.sessions: dict[CallerSession, None] = {}
         self.limits: dict[str, WorkspaceLimits] = {}
 
     def handlers(self) -> CallerHandlers:
@@ -110,7 +110,7 @@
             return refused
         session.data = CallerState()
         session.data.used_at = time.monotonic()
-        self.sessions.add(session)
+        self.sessions[session] = None
         return None
 
     async def use(self, session: CallerSession, service: str):
@@ -141,7 +141,7 @@
 
     async def closed(self, session: CallerSession) -> None:
         """Release what a connection held."""
-        self.sessions.discard(session)
+        self.sessions.pop(session, None)
         close_transaction(session.data, session)
         self.limits_of(session.workspace).close_connection()
 
--- a/chivescale/entry/_probes.py
+++ b/chivescale/entry/_probes.py
@@ -88,10 +88,13 @@
         # Ticks are finer than probes so that a verdict does not wait for
         # the next probe.
         interval_s = self.settings.probe_interval_ms / 4000
+        late_s = 0.0
         while True:
             for name, watcher in list(self.watchers.items()):
-                self._step(name, watcher, failover.Tick())
+                self._step(name, watcher, failover.Tick(late_s))
+            due = time.monotonic() + interval_s
             await asyncio.sleep(interval_s)
+            late_s = max(0.0, time.monotonic() - due)
 
     def _step(self, service: str, watcher, event) -> None:
         for effect in watcher.step(event, time.monotonic()):
--- a/chivescale/failover/_detector.py
+++ b/chivescale/failover/_detector.py
@@ -10,6 +10,12 @@
 MEAN_GAIN = 1 / 8
 DEVIATION_GAIN = 1 / 4
 DEVIATIONS = 4.0
+# A process whose own timers are late is short of processor time, and so
+# probably is the endpoint beside it: every answer passes several such waits.
+OWN_LATENESS_FACTOR = 5.0
+OWN_LATENESS_HALF_LIFE_S = 1.0
+# Limits what a single stall of this process adds to the timeout.
+MAX_OWN_ALLOWANCE_S = 0.8
 
 # A single fresh probe can be lost while the endpoint makes a normal pause
 # right after it; the second one is sent half an interval later.
@@ -47,10 +53,6 @@
     refused: bool = False
 
 
-class Tick(msgspec.Struct, frozen=True):
-    """Time passed."""
-
-
 class SendProbe(msgspec.Struct, frozen=True):
     """Effect: probe the endpoint now."""
 
@@ -97,13 +99,19 @@
         # When the oldest fresh probes left after which nothing was answered.
         self.unanswered_at: list[float] = []
         self.refusals = 0
+        self.lateness_s = 0.0
+
+    def allowance_s(self) -> float:
+        """Return what is added to time-outs while this process is slow."""
+        return min(MAX_OWN_ALLOWANCE_S, OWN_LATENESS_FACTOR * self.lateness_s)
 
     def timeout_s(self) -> float:
         """Return the silence after which an answer is overdue."""
         if self.mean_s is None:
-            return self.floor_s
+            return self.floor_s + self.allowance_s()
         expected = self.mean_s + DEVIATIONS * self.deviation_s
-        return min(max(expected, self.floor_s), self.ceiling_s)
+        usual = min(max(expected, self.floor_s), self.ceiling_s)
+        return usual + self.allowance_s()
 
     def late_s(self) -> float:
         """Return the wait after which a fresh probe checks a late one."""
@@ -120,6 +128,7 @@
             return self._answered(event, now)
         if isinstance(event, ProbeFailed):
             return self._failed(event, now)
+        self._note_lateness(event.late_s, now)
         return self._tick(now)
 
     def _sent(self, event: ProbeSent, now: float) -> list[SendProbe]:
@@ -187,6 +196,13 @@
         fresh = late or self.verdict != HEALTHY
         return [SendProbe(fresh)] if due else []
 
+    def _note_lateness(self, late_s: float, now: float) -> None:
+        """Keep the recent lateness of the own timer; it decays."""
+        if self.last_tick_at is not None:
+            age = max(0.0, now - self.last_tick_at)
+            self.lateness_s *= 0.5 ** (age / OWN_LATENESS_HALF_LIFE_S)
+        self.lateness_s = max(self.lateness_s, late_s)
+
     def _credit_own_pause(self, now: float) -> None:
         """Move the probes' start by the time this process did not run."""
         if self.last_tick_at is None:
--- a/chivescale/failover/_events.py
+++ b/chivescale/failover/_events.py
@@ -133,7 +133,15 @@
 
 
 class Tick(msgspec.Struct, frozen=True):
-    """Time passed."""
+    """Time passed.
+
+    Attributes
+    ----------
+    late_s : float
+        How late the timer of this process was.
+    """
+
+    late_s: float = 0.0
 
 
 class Propose(msgspec.Struct, frozen=True):
--- a/chivescale/failover/_watcher.py
+++ b/chivescale/failover/_watcher.py
@@ -8,7 +8,6 @@
     ProbeAnswered,
     ProbeFailed,
     ProbeSent,
-    Tick,
 )
 from chivescale.messages import (
     EndpointRecord,
@@ -138,7 +137,7 @@
             effects += self._drive(event.endpoint, failed, now)
         else:
             for endpoint in self.voters:
-                effects += self._drive(endpoint, Tick(), now)
+                effects += self._drive(endpoint, event, now)
         return effects + self._report(now)
 
     def _watch(self, event: WatchService) -> None:
@@ -213,10 +212,11 @@
             return False
         if status.primary != self.record.primary:
             return False
+        limit_ms = self.detached_ms + voter.detector.allowance_s() * 1000
         if status.primary_contact_ms >= 0:
-            return status.primary_contact_ms >= self.detached_ms
+            return status.primary_contact_ms >= limit_ms
         since = voter.no_contact_since
-        return since is not None and (now - since) * 1000 >= self.detached_ms
+        return since is not None and (now - since) * 1000 >= limit_ms
 
     def _report(self, now: float) -> list[Report]:
         record = self.record
--- a/chivescale/failover/tests/detection.feature
+++ b/chivescale/failover/tests/detection.feature
@@ -32,6 +32,20 @@
     When the watcher itself pauses for 2000 ms
     Then the detector says healthy
 
+  Scenario Outline: A watcher short of processor time distrusts itself
+    Given an endpoint that answered every probe for 2 s
+    When the watcher's timers are <late> ms late from then on
+    And from then on it pauses for <ms> ms
+    Then the detector says <verdict>
+
+    Examples:
+      | late | ms   | verdict |
+      | 0    | 600  | silent  |
+      | 60   | 600  | healthy |
+      | 60   | 1500 | silent  |
+      | 200  | 900  | healthy |
+      | 200  | 2000 | silent  |
+
   Scenario Outline: Verdict of a watcher
     Given a watcher of voters a, b and c with primary a in term 4
     When b reports contact <b> in term <b term> and c contact <c>
--- /dev/null
+++ b/chivescale/promotion/tests/promotion.feature
@@ -0,0 +1,40 @@
+Feature: Replacement of primaries
+  Guards against a promotion for a pause, a slow answer or the view of one
+  host, against a dead primary that stays, and against the choice of a
+  replica that lacks an acknowledged commit.
+
+  Scenario Outline: Verdict on a primary
+    Given a primary that answered every probe for 2 s
+    When it <behaves> for <ms> ms and entry hosts say "<opinions>"
+    Then the verdict is <verdict>
+
+    Examples:
+      | behaves          | ms   | opinions     | verdict |
+      | answers          | 1000 |              | alive   |
+      | is silent        | 300  | ---          | suspect |
+      | is silent        | 600  | -            | suspect |
+      | is silent        | 1200 | ---          | dead    |
+      | is silent        | 1200 |              | dead    |
+      | is silent        | 1200 | +++-         | suspect |
+      | is silent        | 1200 | ++--         | dead    |
+      | refuses          | 600  | --           | dead    |
+      | refuses          | 600  | ++           | suspect |
+      | refuses once     | 1000 |              | alive   |
+      | lets the host wait | 3000 |            | alive   |
+
+  Scenario Outline: Choice of the successor
+    Given replicas <replicas> and <sync> synchronous copies
+    Then the successor is <successor>
+
+    Examples:
+      | replicas                          | sync | successor       |
+      | a 3.10, b 3.12                    | 0    | b               |
+      | a 3.10, b silent                  | 0    | a               |
+      | a 4.1, b 3.99                     | 0    | a               |
+      | a 3.10, b 3.12 draining           | 0    | a               |
+      | b 3.12 draining                   | 0    | b               |
+      | a silent, b silent                | 0    | none: no answer |
+      | a 3.10, b 3.12                    | 1    | b               |
+      | a 3.10, b silent                  | 1    | none: may hold  |
+      | a 3.10, b 3.12 draining           | 1    | b               |
+      | a 3.10, b 3.12, c silent          | 2    | b               |
--- /dev/null
+++ b/chivescale/promotion/tests/steps/promotion_steps.py
@@ -0,0 +1,102 @@
+"""Steps for the detection and choice of primaries."""
+
+from behave import given, then, when
+
+from chivescale.errors import is_failure
+from chivescale.messages import Position
+from chivescale.promotion import (
+    Candidate,
+    PrimaryDetector,
+    choose_successor,
+)
+
+TICK_S = 0.05
+PROBE_S = 0.2
+
+
+def run(context, ms: int, opinions: str, probe) -> None:
+    """Tick the detector; `probe` handles each probe."""
+    end = context.now + ms / 1000
+    next_probe = context.now
+    while context.now < end:
+        if context.now >= next_probe:
+            probe(context.now)
+            next_probe += PROBE_S
+        context.verdict = context.detector.verdict(context.now)
+        if context.verdict.name == "SUSPECT":
+            for number, opinion in enumerate(opinions):
+                context.detector.opinion(
+                    f"h{number}", opinion == "+", context.now
+                )
+        context.now += TICK_S
+
+
+@given("a primary that answered every probe for 2 s")
+def answered(context):
+    context.now = 1000.0
+    context.detector = PrimaryDetector(context.now)
+    run(context, 2000, "", context.detector.answered)
+
+
+@when('it {behaves} for {ms:d} ms and entry hosts say "{opinions}"')
+def behaves(context, behaves, ms, opinions):
+    behave(context, behaves, ms, opinions)
+
+
+@when('it {behaves} for {ms:d} ms and entry hosts say ""')
+def behaves_alone(context, behaves, ms):
+    behave(context, behaves, ms, "")
+
+
+def behave(context, behaves, ms, opinions):
+    detector = context.detector
+    refused = []
+
+    def refuse_once(now):
+        if refused:
+            detector.answered(now)
+        else:
+            refused.append(now)
+            detector.failed(True, now)
+
+    if behaves == "lets the host wait":
+        # The host itself did not run; it missed probes and answers.
+        context.now += ms / 1000
+        detector.failed(False, context.now)
+        context.verdict = detector.verdict(context.now)
+        return
+    probe = {
+        "answers": detector.answered,
+        "is silent": lambda now: detector.failed(False, now),
+        "refuses": lambda now: detector.failed(True, now),
+        "refuses once": refuse_once,
+    }[behaves]
+    run(context, ms, opinions, probe)
+
+
+@then("the verdict is {verdict}")
+def verdict_is(context, verdict):
+    assert context.verdict.name.lower() == verdict, context.verdict
+
+
+@given("replicas {replicas} and {sync:d} synchronous copies")
+def replicas(context, replicas, sync):
+    candidates = []
+    for text in replicas.split(", "):
+        name, state, *rest = text.split(" ")
+        received = None
+        if state != "silent":
+            received = Position(*map(int, state.split(".")))
+        candidates.append(Candidate(name, received, rest == ["draining"]))
+    context.choice = choose_successor(candidates, sync)
+
+
+@then("the successor is {successor}")
+def successor(context, successor):
+    if successor.startswith("none: "):
+        reason = successor.removeprefix("none: ")
+        assert is_failure(context.choice), context.choice
+        expected = {"no answer": "no replica answered"}.get(reason, reason)
+        assert expected in context.choice.reason, context.choice
+    else:
+        assert context.choice == successor, context.choice
--- a/chivescale/relay/_reachability.py
+++ b/chivescale/relay/_reachability.py
@@ -48,7 +48,7 @@
             elif self.host.catalog is not None:
                 self._note(await self._primary_lost())
             if self.cut_off_since is not None:
-                self._move_sessions(time)
+                self.move_sessions(time)
 
     async def _primary_lost(self) -> bool:
         """Tell whether some primary does not answer."""
@@ -65,7 +65,7 @@
         self.cut_off_since = now() if cut_off else None
         log_event("reachability", "warning", cut_off=cut_off)
 
-    def _move_sessions(self, time: float) -> None:
+    def move_sessions(self, time: float) -> None:
         """Close resting sessions that came before the balancer noticed."""
         noticed = self.cut_off_since + BALANCER_S
         if time < noticed:
--- /dev/null
+++ b/chivescale/relay/tests/steps/load_steps.py
@@ -0,0 +1,405 @@
+"""Steps for the relay's decisions, with fakes in place of connections."""
+
+import asyncio
+import random
+import types
+
+from behave import given, then, when
+
+from chivescale import clock
+from chivescale.errors import ErrorKind, Failure, is_failure
+from chivescale.messages import Position
+from chivescale.registry import EndpointBeat
+from chivescale.relay._endpoint import Endpoint, Running, Service
+from chivescale.relay._freshness import PrimarySample
+from chivescale.relay._pool import LinkPool
+from chivescale.relay._reachability import Reachability
+
+LONG_AGO_S = 100.0
+
+
+class FakeLink:
+    """Counts what happens to a link."""
+
+    def __init__(self):
+        self.usable = True
+        self.values: dict[str, str] = {}
+        self.last_session = None
+        self.used_at = 0.0
+
+    def abort(self) -> None:
+        self.usable = False
+
+    close = abort
+
+
+def endpoint(name: str, zone: str = "near", slots: int = 2) -> Endpoint:
+    beat = EndpointBeat(
+        name, "ledger", "127.0.0.1:9", zone, slots, False, False, 1, 1
+    )
+    return Endpoint(beat, None)
+
+
+def running(started: float, link, revocable: bool) -> Running:
+    return Running(started, link, revocable)
+
+
+def make_service(endpoints) -> Service:
+    service = Service("ledger", "near", random.Random(1))
+    service.endpoints = {e.beat.endpoint: e for e in endpoints}
+    return service
+
+
+# Choice of endpoints.
+
+
+@given("endpoints where {facts}")
+def facts(context, facts):
+    time = clock.now()
+    made = {name: endpoint(name) for name in "ab"}
+    service = make_service(made.values())
+    # `b` has refused just now unless the facts say otherwise.
+    made["b"].refused_at = time - 0.1
+    for number, fact in enumerate(facts.split(", ")):
+        name, what = fact.split(" ", 1)
+        at = time - 1.0 + number * 0.1
+        match what:
+            case "claims" | "claims later":
+                made[name].primary_since = at
+                made[name].refused_at = 0.0
+            case "refused":
+                made[name].refused_at = at
+                made[name].refused_at = time - 0.2
+                made["a"].primary_since = time - 1.0
+            case "refused long ago":
+                made[name].refused_at = time - 0.8
+                made["b"].refused_at = time - 0.7
+            case "proved":
+                made[name].refused_at = 0.0
+                service.note_lead(made[name], Position(3, 1), at)
+    if "b claims later" in facts:
+        made["b"].primary_since = time - 0.05
+    context.service = service
+
+
+@then("writes go to {order}")
+def writes_go(context, order):
+    found = context.service.primaries(clock.now())
+    names = ", ".join(e.beat.endpoint for e in found) or "nothing"
+    assert names == order, names
+
+
+@given("endpoints {endpoints}")
+def endpoints_given(context, endpoints):
+    import msgspec
+
+    time = clock.now()
+    made = []
+    context.service = service = make_service([])
+    for text in endpoints.split(", "):
+        name, latency, under_way, zone, *flags = text.split(" ")
+        one = endpoint(name, zone)
+        one.latency_s, one.measured_at = int(latency) / 1000, time
+        one.position = Position(3, 10)
+        for _ in range(int(under_way)):
+            one.running[running(time, FakeLink(), True)] = None
+        if "primary" in flags:
+            service.primary = name
+        if "draining" in flags:
+            one.beat = msgspec.structs.replace(one.beat, draining=True)
+        if "behind" in flags:
+            one.position = Position(3, 2)
+            one.behind_until = time + 1.0
+        one.suspected = "suspected" in flags
+        made.append(one)
+    service.endpoints = {e.beat.endpoint: e for e in made}
+
+
+@then("a read that needs position {need:d} goes to {choice}")
+def read_goes(context, need, choice):
+    found = context.service.readers(Position(3, need), set(), clock.now())
+    name = found[0].beat.endpoint if found else "nothing"
+    assert name == choice, name
+
+
+@when("{seconds:d} s pass without an answer")
+def no_answer(context, seconds):
+    context.time = clock.now() + seconds
+
+
+@then("the expected latencies differ by less than {ms:d} ms")
+def latencies(context, ms):
+    values = [
+        e.expected_latency_s(context.time)
+        for e in context.service.endpoints.values()
+    ]
+    assert max(values) - min(values) < ms / 1000, values
+
+
+# Pools.
+
+
+@given("a pool with 1 link that is lent")
+def pool_lent(context):
+    async def refuse(timeout_s):
+        return Failure(ErrorKind.ENDPOINT_FULL, "full")
+
+    context.pool = LinkPool(refuse)
+    context.link = FakeLink()
+    context.pool.lent = 1
+
+
+@when("statements of priority 2, 1, 2 and 0 wait for it")
+def statements_wait(context):
+    context.priorities = (2, 1, 2, 0)
+
+
+@when("the link is returned 4 times")
+def returned(context):
+    async def work():
+        order = []
+
+        async def wait(priority):
+            link = await context.pool.acquire(priority, 5.0, {}, None)
+            assert link is context.link
+            order.append(priority)
+            context.pool.release(link)
+
+        tasks = [asyncio.ensure_future(wait(p)) for p in context.priorities]
+        await asyncio.sleep(0)
+        context.pool.release(context.link)
+        await asyncio.gather(*tasks)
+        return order
+
+    context.order = asyncio.run(work())
+
+
+@then("they got it in the order 0, 1, 2, 2")
+def order_is(context):
+    assert context.order == [0, 1, 2, 2], context.order
+
+
+@when("a statement waits for at most {ms:d} ms")
+def waits(context, ms):
+    context.answer = asyncio.run(context.pool.acquire(1, ms / 1000, {}, None))
+
+
+@then("it is refused as overloaded and the link is not lost")
+def refused(context):
+    assert is_failure(context.answer)
+    assert context.answer.kind is ErrorKind.OVERLOADED
+    context.pool.release(context.link)
+    assert context.pool.idle == [context.link] and context.pool.lent == 0
+
+
+@given("a pool that may open 4 links of which the endpoint accepts 2")
+def pool_limited(context):
+    context.attempts = 0
+
+    async def open_new(timeout_s):
+        context.attempts += 1
+        accepted = context.attempts <= 2
+        await asyncio.sleep(0)
+        if not accepted:
+            return Failure(ErrorKind.ENDPOINT_FULL, "full")
+        return FakeLink()
+
+    context.pool = LinkPool(open_new)
+    context.pool.limit = 4
+
+
+@when("4 statements ask for a link at once")
+def four(context):
+    async def work():
+        ask = [context.pool.acquire(1, 0.2, {}, None) for _ in range(4)]
+        return await asyncio.gather(*ask)
+
+    context.answers = asyncio.run(work())
+
+
+@then("2 get one and 2 wait without being refused")
+def two_and_two(context):
+    links = [a for a in context.answers if not is_failure(a)]
+    assert len(links) == 2, context.answers
+    kinds = {a.kind for a in context.answers if is_failure(a)}
+    # They waited for a link to be returned until their time was up.
+    assert kinds == {ErrorKind.OVERLOADED}, kinds
+
+
+@then("no further connection is tried for 400 ms")
+def no_further(context):
+    before = context.attempts
+    answer = asyncio.run(context.pool.acquire(1, 0.05, {}, None))
+    assert is_failure(answer)
+    assert context.attempts == before, context.attempts
+
+
+@given("a pool whose endpoint cannot be reached")
+def unreachable(context):
+    context.attempts = 0
+
+    async def open_new(timeout_s):
+        context.attempts += 1
+        return Failure(ErrorKind.CONNECTION_REFUSED, "refused")
+
+    context.pool = LinkPool(open_new)
+
+
+@when("a statement asks for a link twice")
+def asks_twice(context):
+    async def work():
+        return [await context.pool.acquire(1, 1.0, {}, None) for _ in range(2)]
+
+    context.answers = asyncio.run(work())
+
+
+@then("the second answer comes without another attempt")
+def no_attempt(context):
+    assert [a.kind for a in context.answers] == [
+        ErrorKind.CONNECTION_REFUSED
+    ] * 2
+    assert context.attempts == 1
+
+
+# Silence.
+
+
+@given(
+    "an endpoint with a read, a write and a statement of a transaction"
+    " under way"
+)
+def under_way(context):
+    context.started = clock.now()
+    context.endpoint = endpoint("a")
+    context.links = {
+        "read": FakeLink(),
+        "write": FakeLink(),
+        "transaction": FakeLink(),
+    }
+    for name, link in context.links.items():
+        entry = running(context.started, link, name != "write")
+        context.endpoint.running[entry] = None
+
+
+@when("it answers nothing for {ms:d} ms and {other}")
+def silent_for(context, ms, other):
+    time = context.started + ms / 1000
+    if other == "answered another 200 ms ago":
+        context.endpoint.answered_at = time - 0.2
+
+    async def work():
+        context.endpoint.check_silence(time)
+        if context.endpoint.trial is not None:
+            context.endpoint.trial.cancel()
+
+    asyncio.run(work())
+
+
+@then("it is {state}, and {ended} are ended")
+def state_is(context, state, ended):
+    assert context.endpoint.suspected == (state == "suspected")
+    assert context.endpoint.usable(clock.now()) == (state == "trusted")
+    gone = [n for n, link in context.links.items() if not link.usable]
+    assert (", ".join(gone) or "none") == ended, gone
+
+
+# Reachability.
+
+
+@given(
+    "a host whose coordinators are {coordinators} and primaries {primaries}"
+)
+def host_given(context, coordinators, primaries):
+    lost = Failure(ErrorKind.FRESHNESS_UNPROVED, "no answer")
+
+    async def barrier(service):
+        return lost if (service, primaries) == ("s2", "partly out") else None
+
+    host = types.SimpleNamespace(
+        by_id={},
+        sessions=set(),
+        follower=types.SimpleNamespace(connected=coordinators == "in touch"),
+        catalog=object(),
+        max_connections={"s1": 1, "s2": 1},
+        service=lambda name: name,
+        executor=types.SimpleNamespace(barrier=barrier),
+    )
+    context.reachability = Reachability(host)
+    asyncio.run(run_for(context.reachability, 0.25))
+
+
+async def run_for(reachability, seconds: float) -> None:
+    task = asyncio.ensure_future(reachability.run())
+    await asyncio.sleep(seconds)
+    task.cancel()
+
+
+@then("it is {ready}")
+def readiness(context, ready):
+    cut_off = context.reachability.cut_off_since is not None
+    assert cut_off == (ready == "not ready")
+
+
+@given("a host that is cut off with 3 resting sessions and 1 in a transaction")
+def with_sessions(context):
+    sessions = set()
+
+    class Session:
+        opened_at = 0.0
+
+        def __init__(self, idle):
+            self.idle = idle
+
+        def close(self):
+            sessions.discard(self)
+
+    for idle in (True, True, True, False):
+        sessions.add(Session(idle))
+    host = types.SimpleNamespace(sessions=sessions)
+    context.sessions = sessions
+    context.reachability = Reachability(host)
+    context.reachability.cut_off_since = 50.0
+
+
+@when("{seconds:d} s have passed since then")
+def passed(context, seconds):
+    context.reachability.move_sessions(50.0 + seconds)
+
+
+@then("{count:d} sessions are open")
+@then("{count:d} session is open")
+def open_sessions(context, count):
+    assert len(context.sessions) == count
+
+
+# Freshness.
+
+
+@given("a position that was proven {age:d} ms ago")
+def proven(context, age):
+    context.sample = PrimarySample()
+    context.sample.note(Position(3, 10), LONG_AGO_S)
+    context.now = LONG_AGO_S + age / 1000
+
+
+@given("a position 3.10 that was proven 100 ms ago")
+def proven_before(context):
+    context.sample = PrimarySample()
+    context.sample.note(Position(3, 10), LONG_AGO_S - 0.1)
+
+
+@when("an answer arrives with position 3.8 of a statement sent 200 ms ago")
+def late_answer(context):
+    context.sample.note(Position(3, 8), LONG_AGO_S - 0.2)
+
+
+@then("the proven position is 3.10")
+def position_is(context):
+    assert context.sample.position == Position(3, 10)
+
+
+@then("a read that accepts {staleness:d} ms {verdict} rely on it")
+def may_rely(context, staleness, verdict):
+    # Binary fractions: compare with a tenth of a millisecond to spare.
+    covers = context.sample.covers(context.now - 1e-4, staleness / 1000)
+    assert covers == (verdict == "may"), context.now
