--- a/chivescale/coordinator/_promoter.py
+++ b/chivescale/coordinator/_promoter.py
@@ -23,7 +23,7 @@
 # Between two probes of a primary.
 PROBE_PERIOD_S = 0.2
 # A probe without an answer for this long counts as failed.
-PROBE_TIMEOUT_S = 0.4
+PROBE_TIMEOUT_S = 0.3
 TICK_S = 0.05
 # Replicas report their positions within this time or are passed over.
 STATE_TIMEOUT_S = 0.3
--- a/chivescale/promotion/_detector.py
+++ b/chivescale/promotion/_detector.py
@@ -5,9 +5,9 @@
 import msgspec
 
 # A pause up to 300 ms is normal for an endpoint under load.
-SILENCE_SUSPECT_S = 0.35
+SILENCE_SUSPECT_S = 0.3
 # Silence for this long, confirmed by entry hosts, ends a primary's lead.
-SILENCE_DEAD_S = 0.8
+SILENCE_DEAD_S = 0.55
 # A refused connection proves that no process listens; the second one rules
 # out a single reset on the way.
 REFUSALS_DEAD = 2
--- a/chivescale/relay/_endpoint.py
+++ b/chivescale/relay/_endpoint.py
@@ -32,6 +32,10 @@
 # An endpoint that has answered nothing for this long while a statement runs
 # is taken for unreachable. Pauses of up to 300 ms are normal.
 SILENT_S = 0.5
+# A statement whose answer is this late, plus a multiple of the usual latency,
+# while later ones were answered, has lost its answer.
+LOST_ANSWER_S = 0.3
+LOST_ANSWER_FACTOR = 6.0
 # A suspected endpoint is tried over a new connection at this interval.
 TRIAL_TIMEOUT_S = 0.3
 TRIAL_PAUSE_S = 0.2
@@ -124,6 +128,22 @@
         heard = max(oldest.started, self.answered_at)
         if time - heard > SILENT_S:
             self.suspect(f"no answer for {time - heard:.3f} s")
+            return
+        self._end_lost(time)
+
+    def _end_lost(self, time: float) -> None:
+        """End statements whose answer was lost on a living endpoint.
+
+        The caller of a read is served over another link, and the one of a
+        transaction can begin it again while there is time.
+        """
+        usual = LOST_ANSWER_FACTOR * self.expected_latency_s(time)
+        for running in list(self.running):
+            age = time - running.started
+            if age < LOST_ANSWER_S + usual:
+                return
+            if running.revocable and self.answered_at > running.started:
+                running.link.abort()
 
     def suspect(self, reason: str) -> None:
         """Send no new work until a new connection proves the endpoint."""
--- a/chivescale/relay/_executor.py
+++ b/chivescale/relay/_executor.py
@@ -3,7 +3,7 @@
 import asyncio
 import collections.abc
 
-from chivescale.catalog import Consistency
+from chivescale.catalog import Consistency, Route
 from chivescale.clock import now
 from chivescale.dialect import TransactionState
 from chivescale.errors import ErrorKind, Failure, is_failure
@@ -109,11 +109,18 @@
         log that another primary has already continued.
         """
         failure = None
-        for endpoint in service.primaries(now())[:MAX_ATTEMPTS]:
+        while work.attempts < MAX_ATTEMPTS and not work.expired():
+            endpoints = service.primaries(now())
+            if not endpoints:
+                break
+            endpoint = endpoints[0]
+            work.attempts += 1
             link = await self._begin(service, endpoint, work, True, None)
             if is_failure(link):
                 failure = link
-                continue
+                if link.kind is ErrorKind.ENDPOINT_READ_ONLY:
+                    continue
+                break
             outcome = await self._run(endpoint, link, work)
             self._roll_back(endpoint, link)
             if not is_failure(outcome):
@@ -121,16 +128,13 @@
             failure = outcome
             if outcome.kind is ErrorKind.ENDPOINT_READ_ONLY:
                 service.note_refusal(endpoint)
-            elif not _may_repeat_read(outcome):
+            elif outcome.kind is not ErrorKind.READ_INTERRUPTED:
+                # A lost answer is asked for again over another link.
                 return outcome
-            if work.expired():
-                break
         return failure or no_primary(service)
 
     async def _read(self, service: Service, work: Work) -> Outcome:
-        need = await self._required(
-            service, work.route, work.arrived_at, work.session
-        )
+        need = await self._required(service, work.route, work.arrived_at, work)
         if is_failure(need):
             return await self._read_on_primary(service, work)
         self.retries.record_request()
@@ -242,7 +246,7 @@
         need = None
         if not leads:
             need = await self._required(
-                service, route, transaction.arrived_at, work.session
+                service, route, transaction.arrived_at, work
             )
             leads = is_failure(need)
         failure = None
@@ -320,7 +324,7 @@
     # Freshness.
 
     async def _required(
-        self, service: Service, route, arrived_at: float, session
+        self, service: Service, route: Route, arrived_at: float, work: Work
     ) -> Position | Failure:
         """Return the position that a read has to include."""
         staleness_s = route.max_staleness_ms / 1000
@@ -333,10 +337,12 @@
                 )
         elif sample.age_s(arrived_at) > RENEW_SHARE * staleness_s:
             self.start_barrier(service)
+        work.proof_age_s = sample.age_s(arrived_at)
         need = sample.position
-        own = session.positions.get(service.name)
+        own = work.session.positions.get(service.name)
         if route.consistency is Consistency.SESSION and own is not None:
             need = max(need, own)
+        work.need = need
         return need
 
     def start_barrier(self, service: Service) -> asyncio.Task:
@@ -440,6 +446,7 @@
         if work.expired():
             return work.expired()
         started = now()
+        work.endpoint = endpoint.beat.endpoint
         running = Running(started, link, work.revocable)
         endpoint.running[running] = None
         try:
--- a/chivescale/relay/_host.py
+++ b/chivescale/relay/_host.py
@@ -330,8 +330,21 @@
             service=route.service if route else "",
             outcome=outcome.kind if failed else "ok",
             reason=outcome.reason if failed else "",
-            attempts=0 if is_failure(work) else work.attempts,
+            **_evidence(work),
             duration_s=duration_s,
             consistency=consistency,
             version=self.catalog.version if self.catalog else -1,
         )
+
+
+def _evidence(work) -> dict[str, object]:
+    """Return what decided on a statement, for its log line."""
+    if is_failure(work):
+        return {}
+    need = work.need
+    return {
+        "attempts": work.attempts,
+        "endpoint": work.endpoint,
+        "need": f"{need.term}.{need.position}" if need else "",
+        "proof_age_s": work.proof_age_s,
+    }
--- a/chivescale/relay/_pool.py
+++ b/chivescale/relay/_pool.py
@@ -16,8 +16,10 @@
 FULL_PAUSE_S = 0.5
 # After a failed attempt to connect, no other one is made for this long.
 FAILED_PAUSE_S = 0.25
-# Links above the own share are given back after this time without use.
-SURPLUS_IDLE_S = 5.0
+# Links above the own share are given back after this time without use. After
+# a loss of power an endpoint keeps the dead connections for seconds; few open
+# ones leave room for the new ones.
+SURPLUS_IDLE_S = 1.5
 
 OpenLink = collections.abc.Callable[
     [float], collections.abc.Awaitable[Link | Failure]
--- a/chivescale/relay/_work.py
+++ b/chivescale/relay/_work.py
@@ -6,6 +6,7 @@
 from chivescale.clock import now
 from chivescale.dialect import Reply, Statement, StatementKind
 from chivescale.errors import ErrorKind, Failure
+from chivescale.messages import Position
 from chivescale.relay._prepare import Definition
 
 # Part of the target latency for which a statement waits for a free link.
@@ -34,6 +35,12 @@
         Caller.
     attempts : int
         Endpoints that it was offered to.
+    endpoint : str
+        Endpoint that it was sent to last; empty if it never left.
+    need : Position or None
+        Position that its log had to hold.
+    proof_age_s : float
+        Age of the proof of that position; negative without one.
     """
 
     statement: Statement
@@ -43,6 +50,9 @@
     session: object
     definition: Definition | None = None
     attempts: int = 0
+    endpoint: str = ""
+    need: Position | None = None
+    proof_age_s: float = -1.0
 
     @property
     def revocable(self) -> bool:
