Refuse reads without proof as such; suspect endpoints that answer no begin

Cause: a read whose age could not be proved was refused as "no primary", and each one waited for the same unanswered question to the primary. Change: the refusal names the missing proof, its age and the primary's failure; an endpoint that does not answer a begin or a replay, which take no slot, is suspected at once.

--- a/chivescale/relay/_executor.py
+++ b/chivescale/relay/_executor.py
@@ -35,7 +35,10 @@
 # Share of reads that may be offered twice, and how many at once.
 HEDGE_SHARE = 0.1
 HEDGE_BURST = 10.0
-# Statements of the system itself end within this time.
+# Begins and replays take no slot of the endpoint, so they are answered even
+# under load; an endpoint that does not is suspected.
+PREPARE_TIMEOUT_S = 0.4
+# A rollback waits for the statement before it.
 OWN_TIMEOUT_S = 1.0
 
 # Refusals that leave the statement free to run elsewhere.
@@ -136,7 +139,7 @@
     async def _read(self, service: Service, work: Work) -> Outcome:
         need = await self._required(service, work.route, work.arrived_at, work)
         if is_failure(need):
-            return await self._read_on_primary(service, work)
+            return await self._read_unproved(service, work, need)
         self.retries.record_request()
         outcome = await self._read_anywhere(service, work, need)
         failure = outcome if is_failure(outcome) else None
@@ -149,6 +152,19 @@
             return await self._read_on_primary(service, work)
         return failure
 
+    async def _read_unproved(
+        self, service: Service, work: Work, cause: Failure
+    ) -> Outcome:
+        """Read on the primary, which needs no proof of its age."""
+        outcome = await self._read_on_primary(service, work)
+        if is_failure(outcome) and outcome.kind in NOT_RUN | {
+            ErrorKind.NO_PRIMARY
+        }:
+            work.proof_age_s = service.sample.age_s(work.arrived_at)
+            reason = f"{cause.reason}; primary: {outcome.reason}"
+            return Failure(ErrorKind.FRESHNESS_UNPROVED, reason)
+        return outcome
+
     async def _read_anywhere(
         self, service: Service, work: Work, need: Position
     ) -> Outcome:
@@ -377,6 +393,7 @@
             self._release(endpoint, link)
             if is_failure(replies):
                 failure = replies
+                _note_silence(endpoint, replies)
                 continue
             failure = refusal_of(replies[0])
             if failure is None:
@@ -412,13 +429,14 @@
         begin = link.dialect.begin_text(not leads, after)
         need = Need(work.session.values, work.definition, begin)
         sent_at = now()
-        begun = await prepare_link(link, need, OWN_TIMEOUT_S)
+        begun = await prepare_link(link, need, PREPARE_TIMEOUT_S)
         link.last_session = work.session
         if not is_failure(begun):
             if leads:
                 service.note_lead(endpoint, begun.position, sent_at)
             return link
         failure = begun
+        _note_silence(endpoint, failure)
         self._release(endpoint, link)
         if failure.kind is ErrorKind.ENDPOINT_READ_ONLY:
             service.note_refusal(endpoint)
@@ -436,8 +454,9 @@
         """Run the caller's statement on a link."""
         session = work.session
         need = Need(session.values, work.definition)
-        failure = await prepare_link(link, need, OWN_TIMEOUT_S)
+        failure = await prepare_link(link, need, PREPARE_TIMEOUT_S)
         if is_failure(failure):
+            _note_silence(endpoint, failure)
             return _not_started(failure)
         link.last_session = session
         text = forwarded_text(link, work.statement, work.definition)
@@ -488,6 +507,11 @@
         endpoint.pool.release(link)
 
 
+def _note_silence(endpoint: Endpoint, failure: Failure) -> None:
+    if failure.kind is ErrorKind.TIMEOUT:
+        endpoint.suspect(failure.reason)
+
+
 def no_primary(service: Service) -> Failure:
     """Return the refusal while no primary is known."""
     reason = f"no primary of {service.name} is known"
--- a/chivescale/settings/tests/steps/settings_steps.py
+++ b/chivescale/settings/tests/steps/settings_steps.py
@@ -96,7 +96,7 @@
 
 @then("the page has a row with default and range for each setting")
 def page_states_settings(context):
-    page = pathlib.Path(__file__).parents[4] / "docs" / "operations.md"
+    page = pathlib.Path(__file__).parents[4] / "docs" / "OPERATIONS.md"
     rows = {}
     for line in page.read_text().splitlines():
         if line.startswith("| `"):
