--- a/chivescale/relay/_executor.py
+++ b/chivescale/relay/_executor.py
@@ -137,7 +137,7 @@
         return failure or no_primary(service)
 
     async def _read(self, service: Service, work: Work) -> Outcome:
-        need = await self._required(service, work.route, work.arrived_at, work)
+        need = await self.required(service, work.route, work.arrived_at, work)
         if is_failure(need):
             return await self._read_unproved(service, work, need)
         self.retries.record_request()
@@ -261,7 +261,7 @@
         )
         need = None
         if not leads:
-            need = await self._required(
+            need = await self.required(
                 service, route, transaction.arrived_at, work
             )
             leads = is_failure(need)
@@ -339,7 +339,7 @@
 
     # Freshness.
 
-    async def _required(
+    async def required(
         self, service: Service, route: Route, arrived_at: float, work: Work
     ) -> Position | Failure:
         """Return the position that a read has to include."""
--- a/chivescale/relay/tests/load.feature
+++ b/chivescale/relay/tests/load.feature
@@ -88,6 +88,17 @@
       | 1501 | 1500      | may not |
       | 10   | 0         | may not |
 
+  Scenario Outline: A session's own commit counts beside the primary's proof
+    Given a proof of position <proved> and an own commit at <own>
+    Then a read of a <consistency> route needs <need>
+
+    Examples:
+      | proved | own  | consistency | need |
+      | 3.8    | 3.10 | session     | 3.10 |
+      | 3.12   | 3.10 | session     | 3.12 |
+      | 4.2    | 3.10 | session     | 4.2  |
+      | 3.8    | 3.10 | bounded     | 3.8  |
+
   Scenario: An older answer does not replace a newer proof
     Given a position 3.10 that was proven 100 ms ago
     When an answer arrives with position 3.8 of a statement sent 200 ms ago
--- a/chivescale/relay/tests/steps/load_steps.py
+++ b/chivescale/relay/tests/steps/load_steps.py
@@ -7,10 +7,12 @@
 from behave import given, then, when
 
 from chivescale import clock
+from chivescale.catalog import Consistency, Route
 from chivescale.errors import ErrorKind, Failure, is_failure
 from chivescale.messages import Position
 from chivescale.registry import EndpointBeat
 from chivescale.relay._endpoint import Endpoint, Running, Service
+from chivescale.relay._executor import Executor
 from chivescale.relay._freshness import PrimarySample
 from chivescale.relay._pool import LinkPool
 from chivescale.relay._reachability import Reachability
@@ -375,6 +377,41 @@
 # Freshness.
 
 
+@given("a proof of position {proved} and an own commit at {own}")
+def proof_and_commit(context, proved, own):
+    context.service = make_service([])
+    # The proof's question left after the commit was sent and was answered
+    # before the commit, so it covers less although it is newer.
+    context.service.sample.note(position(proved), clock.now())
+    context.own = position(own)
+
+
+def position(text: str) -> Position:
+    return Position(*map(int, text.split(".")))
+
+
+@then("a read of a {consistency} route needs {need}")
+def read_needs(context, consistency, need):
+    route = Route(
+        "r",
+        "mill",
+        "/",
+        "ledger",
+        Consistency(consistency),
+        800,
+        200.0,
+        1,
+        max_staleness_ms=2500,
+    )
+    session = types.SimpleNamespace(positions={"ledger": context.own})
+    work = types.SimpleNamespace(session=session)
+    executor = Executor(lambda name: context.service)
+    found = asyncio.run(
+        executor.required(context.service, route, clock.now(), work)
+    )
+    assert found == position(need), found
+
+
 @given("a position that was proven {age:d} ms ago")
 def proven(context, age):
     context.sample = PrimarySample()
