Check that an endpoint is unreachable before giving it up

Change: silence of 0.35 s leads to a check by a new connection, which a busy machine accepts at once; only if that fails within 0.25 s the endpoint gets no new work. A statement that timed out drops the unused links, which may have gone silent with it.

What remains in those seconds is refused for want of capacity: three slots at six times the work.

--- a/chivescale/link/__init__.py
+++ b/chivescale/link/__init__.py
@@ -1,5 +1,5 @@
 """Sessions of this system with endpoints."""
 
-from chivescale.link._link import Link, open_link
+from chivescale.link._link import Link, can_connect, open_link
 
-__all__ = ["Link", "open_link"]
+__all__ = ["Link", "can_connect", "open_link"]
--- a/chivescale/link/_link.py
+++ b/chivescale/link/_link.py
@@ -202,3 +202,23 @@
         link.abort()
         return Failure(refusal.kind, f"{address}: {refusal.detail}")
     return link
+
+
+async def can_connect(address: str, timeout_s: float) -> bool:
+    """Tell whether a machine answers an attempt to connect.
+
+    A refused connection is an answer: the machine runs and is reachable.
+    """
+    host, _, port = address.rpartition(":")
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(timeout_s):
+            transport, _ = await loop.create_connection(
+                asyncio.Protocol, host, int(port)
+            )
+    except ConnectionRefusedError:
+        return True
+    except (OSError, TimeoutError):
+        return False
+    transport.abort()
+    return True
--- a/chivescale/relay/_endpoint.py
+++ b/chivescale/relay/_endpoint.py
@@ -8,7 +8,7 @@
 from chivescale.clock import now
 from chivescale.dialect import EndpointDialect
 from chivescale.errors import ErrorKind, Failure, is_failure
-from chivescale.link import Link, open_link
+from chivescale.link import Link, can_connect, open_link
 from chivescale.messages import Position
 from chivescale.registry import EndpointBeat
 from chivescale.relay._freshness import PrimarySample
@@ -30,15 +30,17 @@
 # Without a claim, an endpoint that refused a write is tried again after this.
 REFUSED_S = 0.5
 # An endpoint that has answered nothing for this long while a statement runs
-# is taken for unreachable. Pauses of up to 300 ms are normal.
-SILENT_S = 0.5
+# is checked. Pauses of up to 300 ms are normal.
+SILENT_S = 0.35
 # A statement whose answer is this late, plus a multiple of the usual latency,
 # while later ones were answered, has lost its answer.
 LOST_ANSWER_S = 0.3
 LOST_ANSWER_FACTOR = 6.0
-# A suspected endpoint is tried over a new connection at this interval.
-TRIAL_TIMEOUT_S = 0.3
+# A check is a new connection, which a machine that runs accepts at once,
+# however busy its slots are.
+TRIAL_TIMEOUT_S = 0.25
 TRIAL_PAUSE_S = 0.2
+CHECK_PAUSE_S = 0.5
 
 
 class Running(msgspec.Struct, eq=False):
@@ -95,6 +97,8 @@
         self.answered_at = 0.0
         self.suspected = False
         self.trial: asyncio.Task | None = None
+        self.check_again_at = 0.0
+        self.reachable = can_connect
         self.pool = LinkPool(self._open)
 
     async def _open(self, timeout_s: float) -> Link | Failure:
@@ -146,9 +150,32 @@
                 running.link.abort()
 
     def suspect(self, reason: str) -> None:
-        """Send no new work until a new connection proves the endpoint."""
-        if self.suspected:
+        """Check whether the endpoint is reachable; if not, send no new work.
+
+        A slow endpoint accepts connections although its answers are late,
+        and is still the best one for work that only it can do.
+        """
+        time = now()
+        if time < self.check_again_at:
+            return
+        self.check_again_at = time + CHECK_PAUSE_S
+        if self.trial is None or self.trial.done():
+            self.trial = asyncio.ensure_future(self._check(reason))
+
+    async def _check(self, reason: str) -> None:
+        if await self.reachable(self.beat.address, TRIAL_TIMEOUT_S):
+            log_event(
+                "endpoint_slow", endpoint=self.beat.endpoint, reason=reason
+            )
             return
+        self._stop_using(reason)
+        while not await self.reachable(self.beat.address, TRIAL_TIMEOUT_S):
+            await asyncio.sleep(TRIAL_PAUSE_S)
+        self.answered_at = now()
+        self.suspected = False
+        log_event("endpoint_trusted", endpoint=self.beat.endpoint)
+
+    def _stop_using(self, reason: str) -> None:
         self.suspected = True
         log_event(
             "endpoint_suspected",
@@ -162,28 +189,6 @@
         for running in list(self.running):
             if running.revocable:
                 running.link.abort()
-        self.trial = asyncio.ensure_future(self._try())
-
-    async def _try(self) -> None:
-        while True:
-            beat = self.beat
-            link = await open_link(
-                self.dialect,
-                beat.address,
-                beat.service,
-                beat.endpoint,
-                TRIAL_TIMEOUT_S,
-            )
-            if not is_failure(link) or (
-                link.kind is not ErrorKind.UNREACHABLE
-            ):
-                break
-            await asyncio.sleep(TRIAL_PAUSE_S)
-        if not is_failure(link):
-            self.pool.add(link)
-        self.answered_at = now()
-        self.suspected = False
-        log_event("endpoint_trusted", endpoint=self.beat.endpoint)
 
     def close(self) -> None:
         """Close the links and stop trying."""
--- a/chivescale/relay/_executor.py
+++ b/chivescale/relay/_executor.py
@@ -475,6 +475,9 @@
         finally:
             del endpoint.running[running]
         if is_failure(reply):
+            if reply.kind is ErrorKind.TIMEOUT:
+                # Unused links from before may have gone silent with it.
+                endpoint.pool.drop_idle()
             return reply
         time = now()
         endpoint.note_answer(reply.position, time - started, time)
--- a/chivescale/relay/_pool.py
+++ b/chivescale/relay/_pool.py
@@ -194,12 +194,6 @@
                 return
         self.idle.append(link)
 
-    def add(self, link: Link) -> None:
-        """Take over a link that was opened elsewhere."""
-        self.failed_until = 0.0
-        self.lent += 1
-        self.release(link)
-
     def trim(self, time: float) -> None:
         """Close links above the share that nobody has used for a while."""
         surplus = self.held - self.share
--- a/chivescale/relay/tests/steps/load_steps.py
+++ b/chivescale/relay/tests/steps/load_steps.py
@@ -283,6 +283,14 @@
         context.endpoint.running[entry] = None
 
 
+@given("new connections {connect}")
+def new_connections(context, connect):
+    async def reachable(address, timeout_s):
+        return connect == "succeed"
+
+    context.endpoint.reachable = reachable
+
+
 @when("it answers nothing for {ms:d} ms and {other}")
 def silent_for(context, ms, other):
     time = context.started + ms / 1000
@@ -291,6 +299,7 @@
 
     async def work():
         context.endpoint.check_silence(time)
+        await asyncio.sleep(0.01)
         if context.endpoint.trial is not None:
             context.endpoint.trial.cancel()
 
