--- /dev/null
+++ b/chivescale/httpio/tests/steps/httpio_steps.py
@@ -0,0 +1,136 @@
+"""Steps for the HTTP server and client."""
+
+import asyncio
+import socket
+
+from behave import given, then, when
+
+from chivescale.errors import ErrorKind, is_failure
+from chivescale.httpio import (
+    HttpClient,
+    HttpRequest,
+    HttpResponse,
+    HttpServer,
+)
+from chivescale.messages import Done, ErrorBody, encode
+
+ORDINARY = b"GET / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n"
+INPUTS = {
+    "an ordinary request": ORDINARY,
+    "two requests in one packet": ORDINARY * 2,
+    "a request line of noise": b"\x00\xff noise\r\n\r\n",
+    "a body above the limit": (
+        b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3000\r\n\r\n"
+        + b"x" * 3000
+    ),
+    "half a request, then a close": b"GET / HT",
+    "a request whose handler fails": ORDINARY.replace(b"/ ", b"/fail "),
+}
+
+
+def free_address() -> str:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{sock.getsockname()[1]}"
+
+
+async def exchange(address: str, data: bytes) -> bytes:
+    host, port = address.split(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(data)
+    if data.startswith(b"GET / HT") and not data.endswith(b"\n"):
+        writer.write_eof()
+    try:
+        async with asyncio.timeout(2):
+            return await reader.read(4096)
+    finally:
+        writer.close()
+
+
+async def answer(request: HttpRequest) -> HttpResponse:
+    if request.path == "/fail":
+        raise RuntimeError("handler failed")
+    return HttpResponse(200, b"{}")
+
+
+@given("a server")
+def server(context):
+    context.handler = answer
+
+
+@when("it is sent {data}")
+def is_sent(context, data):
+    async def work():
+        address = free_address()
+        server = HttpServer(context.handler, max_body_bytes=2000)
+        await server.start(address)
+        context.answer = await exchange(address, INPUTS[data])
+        context.after = await exchange(address, ORDINARY)
+        await server.close()
+
+    asyncio.run(work())
+
+
+@then("it answers {status}")
+def answers(context, status):
+    if status == "nothing":
+        assert context.answer == b"", context.answer
+    else:
+        assert context.answer.startswith(f"HTTP/1.1 {status}".encode())
+
+
+@then("it still answers an ordinary request")
+def still_answers(context):
+    assert context.after.startswith(b"HTTP/1.1 200"), context.after
+
+
+@given("a server that {behaves}")
+def server_that(context, behaves):
+    context.behaves = behaves
+
+    async def handler(request: HttpRequest) -> HttpResponse:
+        match behaves:
+            case "answers with a message":
+                return HttpResponse(200, encode(Done()))
+            case 'answers with the failure "no_quorum"':
+                return HttpResponse(503, encode(ErrorBody("no_quorum", "r")))
+            case "answers with an unknown failure":
+                return HttpResponse(503, encode(ErrorBody("colour", "r")))
+            case "answers 503 without a body":
+                return HttpResponse(503)
+            case _:
+                await asyncio.sleep(5.0)
+                return HttpResponse(200)
+
+    context.handler = handler
+
+
+@when("a client calls it")
+def calls(context):
+    async def work():
+        address = free_address()
+        server = HttpServer(context.handler)
+        client = HttpClient()
+        if context.behaves != "does not listen":
+            await server.start(address)
+        call = asyncio.ensure_future(
+            client.call(address, "POST", "/x", Done, Done(), timeout_s=0.3)
+        )
+        if context.behaves == "closes without an answer":
+            await asyncio.sleep(0.1)
+            await server.close()
+        context.outcome = await call
+        await client.close()
+        await server.close()
+
+    asyncio.run(work())
+
+
+@then("the call ends as {kind}")
+def ends_as(context, kind):
+    outcome = context.outcome
+    if kind == "success":
+        assert outcome == Done(), outcome
+    else:
+        assert is_failure(outcome), outcome
+        assert outcome.kind is ErrorKind(kind), outcome
