Split the executor; end overdue reads on an endpoint that proved to live

Cause of the fault: since an endpoint is checked by a new connection, one that lives but answers nothing else kept a read whose answer was lost until its limit (platform/tests/relay.feature, "A read whose answer is lost ...", slots withheld, failed once of 84 scenarios: TIMEOUT after 1.997 s, when both replicas withheld their answer and nobody else used them). Ruled out: load; the row is decided by which server the hedge chooses.

Change: a passed check counts as a sign of life, so a statement overdue by the latency of the last second is ended if that leaves nothing behind. Freshness proofs and the return of links are modules of their own.

--- a/chivescale/relay/_endpoint.py
+++ b/chivescale/relay/_endpoint.py
@@ -164,6 +164,9 @@
 
     async def _check(self, reason: str) -> None:
         if await self.reachable(self.beat.address, TRIAL_TIMEOUT_S):
+            # It lives, so a statement that is long overdue by the latency of
+            # the last second has lost its answer.
+            self.answered_at = now()
             log_event(
                 "endpoint_slow", endpoint=self.beat.endpoint, reason=reason
             )
--- a/chivescale/relay/_executor.py
+++ b/chivescale/relay/_executor.py
@@ -3,9 +3,8 @@
 import asyncio
 import collections.abc
 
-from chivescale.catalog import Consistency, Route
+from chivescale.catalog import Consistency
 from chivescale.clock import now
-from chivescale.dialect import TransactionState
 from chivescale.errors import ErrorKind, Failure, is_failure
 from chivescale.link import Link
 from chivescale.messages import Position
@@ -16,16 +15,12 @@
     Service,
 )
 from chivescale.relay._prepare import Need, forwarded_text, prepare_link
+from chivescale.relay._proofs import Proofs, no_primary, note_silence
+from chivescale.relay._returns import Returns
 from chivescale.relay._transaction import Transaction
 from chivescale.relay._work import Outcome, Work, refusal_of
 from chivescale.retry import RetryBudget
-from chivescale.telemetry import log_event
 
-# A sample of the primary's position is renewed in the background once it
-# has used this share of the accepted staleness.
-RENEW_SHARE = 0.6
-# Longest wait for a position of the primary.
-BARRIER_TIMEOUT_S = 0.25
 # Endpoints that one statement is offered to.
 MAX_ATTEMPTS = 4
 # A read is offered to a second endpoint after this time plus a multiple of
@@ -38,8 +33,6 @@
 # Begins and replays take no slot of the endpoint, so they are answered even
 # under load; an endpoint that does not is suspected.
 PREPARE_TIMEOUT_S = 0.4
-# A rollback waits for the statement before it.
-OWN_TIMEOUT_S = 1.0
 
 # Refusals that leave the statement free to run elsewhere.
 NOT_RUN = frozenset(
@@ -68,7 +61,8 @@
     def __init__(self, service_of: collections.abc.Callable[[str], Service]):
         self.service_of = service_of
         self.retries = RetryBudget(HEDGE_SHARE, HEDGE_BURST)
-        self.barriers: dict[str, asyncio.Task] = {}
+        self.returns = Returns()
+        self.proofs = Proofs(self.returns)
         self.tasks: set[asyncio.Task] = set()
 
     # Single statements.
@@ -91,7 +85,7 @@
                 continue
             sent_at = now()
             outcome = await self._run(endpoint, link, work)
-            self._release(endpoint, link)
+            self.returns.release(endpoint, link)
             if not is_failure(outcome):
                 service.note_lead(endpoint, outcome.position, sent_at)
                 work.session.note_commit(service.name, outcome.position)
@@ -125,7 +119,7 @@
                     continue
                 break
             outcome = await self._run(endpoint, link, work)
-            self._roll_back(endpoint, link)
+            self.returns.roll_back(endpoint, link)
             if not is_failure(outcome):
                 return outcome
             failure = outcome
@@ -137,7 +131,9 @@
         return failure or no_primary(service)
 
     async def _read(self, service: Service, work: Work) -> Outcome:
-        need = await self.required(service, work.route, work.arrived_at, work)
+        need = await self.proofs.required(
+            service, work.route, work.arrived_at, work
+        )
         if is_failure(need):
             return await self._read_unproved(service, work, need)
         self.retries.record_request()
@@ -175,7 +171,7 @@
         """
         excluded: set[str] = set()
         running: set[asyncio.Task] = set()
-        failure = no_endpoint(service)
+        failure = _no_endpoint(service)
         while True:
             time = now()
             more = work.attempts < MAX_ATTEMPTS and not work.expired()
@@ -219,7 +215,7 @@
         if is_failure(link):
             return link
         outcome = await self._run(endpoint, link, work, after=need)
-        self._release(endpoint, link)
+        self.returns.release(endpoint, link)
         if is_failure(outcome) and outcome.kind is ErrorKind.ENDPOINT_BEHIND:
             endpoint.behind_until = now() + BEHIND_S
         return outcome
@@ -261,7 +257,7 @@
         )
         need = None
         if not leads:
-            need = await self.required(
+            need = await self.proofs.required(
                 service, route, transaction.arrived_at, work
             )
             leads = is_failure(need)
@@ -292,7 +288,7 @@
         if failure is not None and not leads:
             if failure.kind is ErrorKind.ENDPOINT_BEHIND:
                 return await self._start_on_primary(transaction, work, service)
-        return failure or no_endpoint(service)
+        return failure or _no_endpoint(service)
 
     async def _start_on_primary(
         self, transaction: Transaction, work: Work, service: Service
@@ -318,7 +314,7 @@
         sent_at = now()
         outcome = await self._run(endpoint, link, work)
         transaction.link = None
-        self._release(endpoint, link)
+        self.returns.release(endpoint, link)
         if not is_failure(outcome):
             if transaction.wrote:
                 service = transaction.service
@@ -335,73 +331,7 @@
         transaction.failed = True
         link, transaction.link = transaction.link, None
         if link is not None:
-            self._roll_back(transaction.endpoint, link)
-
-    # Freshness.
-
-    async def required(
-        self, service: Service, route: Route, arrived_at: float, work: Work
-    ) -> Position | Failure:
-        """Return the position that a read has to include."""
-        staleness_s = route.max_staleness_ms / 1000
-        sample = service.sample
-        if not sample.covers(arrived_at, staleness_s):
-            failure = await self.barrier(service)
-            if not sample.covers(arrived_at, staleness_s):
-                return failure or Failure(
-                    ErrorKind.FRESHNESS_UNPROVED, "no sample of the primary"
-                )
-        elif sample.age_s(arrived_at) > RENEW_SHARE * staleness_s:
-            self.start_barrier(service)
-        work.proof_age_s = sample.age_s(arrived_at)
-        need = sample.position
-        own = work.session.positions.get(service.name)
-        if route.consistency is Consistency.SESSION and own is not None:
-            need = max(need, own)
-        work.need = need
-        return need
-
-    def start_barrier(self, service: Service) -> asyncio.Task:
-        """Ask the primary for its position; one question at a time."""
-        task = self.barriers.get(service.name)
-        if task is None or task.done():
-            task = asyncio.ensure_future(self._ask_position(service))
-            self.barriers[service.name] = task
-        return task
-
-    async def barrier(self, service: Service) -> Failure | None:
-        task = self.start_barrier(service)
-        try:
-            async with asyncio.timeout(BARRIER_TIMEOUT_S):
-                return await asyncio.shield(task)
-        except TimeoutError:
-            reason = "the primary did not tell its position in time"
-            return Failure(ErrorKind.FRESHNESS_UNPROVED, reason)
-
-    async def _ask_position(self, service: Service) -> Failure | None:
-        failure = no_primary(service)
-        for endpoint in service.primaries(now())[:MAX_ATTEMPTS]:
-            link = await endpoint.pool.acquire(0, BARRIER_TIMEOUT_S, {}, None)
-            if is_failure(link):
-                failure = link
-                continue
-            sent_at = now()
-            dialect = link.dialect
-            data = dialect.query("", dialect.begin_text(False, None))
-            data += dialect.query("", dialect.rollback_text())
-            replies = await link.exchange(data, 2, BARRIER_TIMEOUT_S)
-            self._release(endpoint, link)
-            if is_failure(replies):
-                failure = replies
-                _note_silence(endpoint, replies)
-                continue
-            failure = refusal_of(replies[0])
-            if failure is None:
-                service.note_lead(endpoint, replies[0].position, sent_at)
-                return None
-            if failure.kind is ErrorKind.ENDPOINT_READ_ONLY:
-                service.note_refusal(endpoint)
-        return failure
+            self.returns.roll_back(transaction.endpoint, link)
 
     # Links.
 
@@ -436,8 +366,8 @@
                 service.note_lead(endpoint, begun.position, sent_at)
             return link
         failure = begun
-        _note_silence(endpoint, failure)
-        self._release(endpoint, link)
+        note_silence(endpoint, failure)
+        self.returns.release(endpoint, link)
         if failure.kind is ErrorKind.ENDPOINT_READ_ONLY:
             service.note_refusal(endpoint)
         elif failure.kind is ErrorKind.ENDPOINT_BEHIND:
@@ -456,7 +386,7 @@
         need = Need(session.values, work.definition)
         failure = await prepare_link(link, need, PREPARE_TIMEOUT_S)
         if is_failure(failure):
-            _note_silence(endpoint, failure)
+            note_silence(endpoint, failure)
             return _not_started(failure)
         link.last_session = session
         text = forwarded_text(link, work.statement, work.definition)
@@ -483,49 +413,6 @@
         endpoint.note_answer(reply.position, time - started, time)
         return refusal_of(reply) or reply
 
-    def _release(self, endpoint: Endpoint, link: Link) -> None:
-        """Return a link; one that is inside a transaction is rolled back."""
-        if link.usable and link.state is not TransactionState.IDLE:
-            self._roll_back(endpoint, link)
-        else:
-            endpoint.pool.release(link)
-
-    def _roll_back(self, endpoint: Endpoint, link: Link) -> None:
-        task = asyncio.ensure_future(self._end_transaction(endpoint, link))
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
-
-    async def _end_transaction(self, endpoint: Endpoint, link: Link) -> None:
-        if link.usable:
-            text = link.dialect.rollback_text()
-            reply = await link.statement(text, OWN_TIMEOUT_S)
-            if is_failure(reply) or reply.state is not TransactionState.IDLE:
-                link.abort()
-                log_event(
-                    "rollback_failed",
-                    "warning",
-                    endpoint=endpoint.beat.endpoint,
-                    reason=reply.reason if is_failure(reply) else "still open",
-                )
-        endpoint.pool.release(link)
-
-
-def _note_silence(endpoint: Endpoint, failure: Failure) -> None:
-    if failure.kind is ErrorKind.TIMEOUT:
-        endpoint.suspect(failure.reason)
-
-
-def no_primary(service: Service) -> Failure:
-    """Return the refusal while no primary is known."""
-    reason = f"no primary of {service.name} is known"
-    return Failure(ErrorKind.NO_PRIMARY, reason)
-
-
-def no_endpoint(service: Service) -> Failure:
-    """Return the refusal while no endpoint can serve a read."""
-    reason = f"no endpoint of {service.name} can be used"
-    return Failure(ErrorKind.OVERLOADED, reason)
-
 
 def _not_started(failure: Failure) -> Failure:
     """Mark a lost link on which no statement of the caller had left."""
@@ -560,3 +447,9 @@
     if failure.kind in lost:
         return Failure(ErrorKind.TRANSACTION_ABORTED, failure.reason)
     return failure
+
+
+def _no_endpoint(service: Service) -> Failure:
+    """Return the refusal while no endpoint can serve a read."""
+    reason = f"no endpoint of {service.name} can be used"
+    return Failure(ErrorKind.OVERLOADED, reason)
--- a/chivescale/relay/_reachability.py
+++ b/chivescale/relay/_reachability.py
@@ -55,7 +55,10 @@
         host = self.host
         names = list(host.max_connections)
         answers = await asyncio.gather(
-            *(host.executor.barrier(host.service(name)) for name in names)
+            *(
+                host.executor.proofs.barrier(host.service(name))
+                for name in names
+            )
         )
         return any(is_failure(answer) for answer in answers)
 
