--- a/chivescale/relay/tests/steps/load_steps.py
+++ b/chivescale/relay/tests/steps/load_steps.py
@@ -271,7 +271,6 @@
     " under way"
 )
 def under_way(context):
-    context.started = clock.now()
     context.endpoint = endpoint("a")
     context.links = {
         "read": FakeLink(),
@@ -279,7 +278,7 @@
         "transaction": FakeLink(),
     }
     for name, link in context.links.items():
-        entry = running(context.started, link, name != "write")
+        entry = running(0.0, link, name != "write")
         context.endpoint.running[entry] = None
 
 
@@ -293,14 +292,18 @@
 
 @when("it answers nothing for {ms:d} ms and {other}")
 def silent_for(context, ms, other):
-    time = context.started + ms / 1000
+    time = clock.now()
+    context.endpoint.running = {
+        running(time - ms / 1000, each.link, each.revocable): None
+        for each in context.endpoint.running
+    }
     if other == "answered another 200 ms ago":
         context.endpoint.answered_at = time - 0.2
 
     async def work():
         context.endpoint.check_silence(time)
         await asyncio.sleep(0.01)
-        context.endpoint.check_silence(time)
+        context.endpoint.check_silence(clock.now())
         if context.endpoint.trial is not None:
             context.endpoint.trial.cancel()
 
