--- a/chivescale/relay/tests/steps/load_steps.py
+++ b/chivescale/relay/tests/steps/load_steps.py
@@ -303,7 +303,7 @@
     async def work():
         context.endpoint.check_silence(time)
         await asyncio.sleep(0.01)
-        context.endpoint.check_silence(clock.now())
+        context.endpoint.check_silence(time)
         if context.endpoint.trial is not None:
             context.endpoint.trial.cancel()
 
