Name the fields of a route in the product's own words

The configuration model used two field names of the platform's wire (latency target and accepted staleness).

--- a/chivescale/catalog/_model.py
+++ b/chivescale/catalog/_model.py
@@ -35,11 +35,11 @@
         What reads have to include.
     statement_timeout_ms : int
         Time limit of one statement.
-    target_latency_ms : float
+    latency_goal_ms : float
         Time within which callers want a whole operation answered.
     priority : int
         0 is the most important.
-    max_staleness_ms : float
+    accepted_staleness_ms : float
         Accepted age of what a read may miss.
     """
 
@@ -49,9 +49,9 @@
     service: str
     consistency: Consistency
     statement_timeout_ms: int
-    target_latency_ms: float
+    latency_goal_ms: float
     priority: int
-    max_staleness_ms: float = 0.0
+    accepted_staleness_ms: float = 0.0
 
 
 class ServiceOptions(msgspec.Struct, frozen=True):
--- a/chivescale/relay/_proofs.py
+++ b/chivescale/relay/_proofs.py
@@ -36,7 +36,7 @@
         self, service: Service, route: Route, arrived_at: float, work: Work
     ) -> Position | Failure:
         """Return the position that a read has to include."""
-        staleness_s = route.max_staleness_ms / 1000
+        staleness_s = route.accepted_staleness_ms / 1000
         sample = service.sample
         if not sample.covers(arrived_at, staleness_s):
             failure = await self.barrier(service)
--- a/chivescale/relay/_work.py
+++ b/chivescale/relay/_work.py
@@ -68,7 +68,7 @@
 
     def link_wait_s(self, time: float) -> float:
         """Return the longest useful wait for a link."""
-        wait = self.route.target_latency_ms / 1000 * LINK_WAIT_SHARE
+        wait = self.route.latency_goal_ms / 1000 * LINK_WAIT_SHARE
         left = self.arrived_at + wait - time
         return max(MIN_ATTEMPT_S, min(left, self.left_s(time)))
 
--- a/chivescale/relay/tests/steps/load_steps.py
+++ b/chivescale/relay/tests/steps/load_steps.py
@@ -416,7 +416,7 @@
         800,
         200.0,
         1,
-        max_staleness_ms=2500,
+        accepted_staleness_ms=2500,
     )
     session = types.SimpleNamespace(positions={"ledger": context.own})
     work = types.SimpleNamespace(session=session)
