Remove a call that did nothing; attach transactions in one place

Found when reading the whole change: the session told its host that it rested, which the host ignored, and two loops wrote the same four fields of a transaction.

Left: PAUSE and RESUME stand in the endpoint port and nothing calls them, so with synchronous copies a primary cut off from the coordinator alone may gain an acknowledged commit between the choice and the takeover.

--- a/chivescale/relay/_executor.py
+++ b/chivescale/relay/_executor.py
@@ -280,9 +280,7 @@
                 service, endpoint, work, leads, None if leads else need
             )
             if not is_failure(link):
-                transaction.service = service
-                transaction.endpoint, transaction.link = endpoint, link
-                transaction.leads = leads
+                transaction.attach(service, endpoint, link, leads)
                 return None
             failure = link
         if failure is not None and not leads:
@@ -297,9 +295,7 @@
         for endpoint in service.primaries(now())[:MAX_ATTEMPTS]:
             link = await self._begin(service, endpoint, work, True, None)
             if not is_failure(link):
-                transaction.service = service
-                transaction.endpoint, transaction.link = endpoint, link
-                transaction.leads = True
+                transaction.attach(service, endpoint, link, leads=True)
                 return None
             failure = link
         return failure or no_primary(service)
--- a/chivescale/relay/_host.py
+++ b/chivescale/relay/_host.py
@@ -294,9 +294,6 @@
 
     # Sessions.
 
-    def session_rested(self, session: CallerSession) -> None:
-        """Note that a session has no statement left to handle."""
-
     def session_ended(self, session: CallerSession) -> None:
         """Forget a session."""
         self.sessions.discard(session)
--- a/chivescale/relay/_session.py
+++ b/chivescale/relay/_session.py
@@ -175,7 +175,6 @@
                 self._release_transaction()
             elif self.transaction is not None:
                 self._start_timer()
-            self.host.session_rested(self)
 
     # Statements.
 
--- a/chivescale/relay/_transaction.py
+++ b/chivescale/relay/_transaction.py
@@ -44,6 +44,14 @@
     failed: bool = False
     timer: asyncio.TimerHandle | None = None
 
+    def attach(
+        self, service: Service, endpoint: Endpoint, link: Link, leads: bool
+    ) -> None:
+        """Note where the transaction was begun."""
+        self.service = service
+        self.endpoint, self.link = endpoint, link
+        self.leads = leads
+
     def stop_timer(self) -> None:
         """Cancel the idle time-out."""
         if self.timer is not None:
