Allow for own pauses in elections; one clock; repeatable random runs

Cause: a leader whose process had not run for the election timeout took the silence for the loss of its quorum, and followers stood for election after one heartbeat. A thawed leader also told entry hosts that it was in contact with a quorum. MySQL roles measured ages on the monotonic clock, which stops while a machine is suspended, against agreement times that count it.

Change: a leader excuses a pause of its own once per contact, for a round; a follower wakes up every two heartbeats of silence, so that it notices its own pause, and puts its election off by as much. contact_age_s uses the quorum's last answers on a leader too. clock.now everywhere in the product.

Ruled out: a longer election timeout (slower failover of the leader).

--- a/chivescale/agreement/_machine.py
+++ b/chivescale/agreement/_machine.py
@@ -44,6 +44,13 @@
 )
 from chivescale.errors import ErrorKind, Failure
 
+# A timer that is late by more than this share of a heartbeat was held up by
+# a pause of the process.
+LATE_SHARE = 0.2
+# A member that hears nothing wakes up after this many heartbeats; a late
+# wake-up shows that it was paused itself.
+WAKEUP_HEARTBEATS = 2
+
 
 class Agreement:
     """One member of the group that keeps the replicated log.
@@ -101,6 +108,7 @@
         self.term_leader: Member | None = None
         self.leader_contact: float | None = None
         self.election_due: float | None = None
+        self.stepped_at = 0.0
         self.deferred = False
         self.election = _election.Election()
         self.leading = _replication.Leading()
@@ -147,11 +155,25 @@
             and self.applied >= self.leading.first_index
         )
 
+    def contact_age_s(self, now: float) -> float:
+        """Return how long ago this member was in contact with a quorum.
+
+        A follower is in contact through its leader.
+        """
+        if self.role is Role.LEADER:
+            contact = _replication.quorum_contact(self, now)
+        else:
+            contact = self.leader_contact if self.leader else None
+        return float("inf") if contact is None else now - contact
+
     def next_wakeup(self) -> float | None:
         """Return when the next `Tick` is due; None for at once."""
         if self.role is Role.LEADER:
             return self.leading.heartbeat_due
-        return self.election_due
+        if self.election_due is None:
+            return None
+        check = WAKEUP_HEARTBEATS * self.timing.heartbeat_s
+        return min(self.election_due, self.stepped_at + check)
 
     # Events.
 
@@ -209,18 +231,23 @@
         return self._collect()
 
     def _note_time(self, now: float) -> None:
-        """Start the timer; put an overdue election off once.
+        """Start the timer; put an election off once after a pause.
 
         A process that was paused has to see the messages that arrived
-        meanwhile before it misses its leader.
+        meanwhile before it misses its leader, which may have been paused
+        too.
         """
         if self.election_due is None:
+            self.stepped_at = now
             _election.start_timer(self, now)
             return
-        late = now - self.election_due > self.timing.heartbeat_s
-        if late and not self.deferred:
+        late = now - self.next_wakeup()
+        self.stepped_at = now
+        heartbeat = self.timing.heartbeat_s
+        if late > LATE_SHARE * heartbeat and not self.deferred:
             self.deferred = True
-            self.election_due = now + self.timing.heartbeat_s
+            wait = max(heartbeat, min(late, self.timing.election_timeout_s))
+            self.election_due = max(self.election_due, now + wait)
 
     def _tick(self, now: float) -> None:
         if self.role is Role.LEADER:
--- a/chivescale/agreement/_replication.py
+++ b/chivescale/agreement/_replication.py
@@ -79,6 +79,8 @@
         First entry of the own term. Earlier entries are committed only
         together with it: a later leader could replace an entry of an
         older term although a quorum holds it.
+    excused_until : float
+        Until when an old contact is put down to a pause of this process.
     round : int
         Number of the last broadcast.
     read_round : int
@@ -87,6 +89,7 @@
 
     first_index: int = 0
     heartbeat_due: float = 0.0
+    excused_until: float = 0.0
     round: int = 0
     read_round: int = 0
     round_sent: dict[int, float] = msgspec.field(default_factory=dict)
@@ -282,17 +285,39 @@
     return values[quorum - 1] if len(values) >= quorum else None
 
 
+def quorum_contact(machine, now: float) -> float | None:
+    """Return when a leader last sent what a quorum has answered."""
+    return quorum_value(machine, now, lambda progress: progress.contact)
+
+
 def tick(machine, now: float) -> None:
     """Step down without a quorum; send heartbeats."""
-    contact = quorum_value(machine, now, lambda progress: progress.contact)
+    contact = quorum_contact(machine, now)
     timeout = machine.timing.election_timeout_s
-    if contact is None or now - contact >= timeout:
+    if contact is not None:
+        _excuse_pause(machine, contact, now)
+    lost = contact is None or now - contact >= timeout
+    if lost and now >= machine.leading.excused_until:
         machine.become_follower(machine.term, None, now)
         return
     if now >= machine.leading.heartbeat_due:
         broadcast(machine, now)
 
 
+def _excuse_pause(machine, contact: float, now: float) -> None:
+    """Allow time for a round after a pause of this process.
+
+    Nobody was asked during the pause, so the lack of answers proves nothing.
+    Without an answer since the last pause there is no further excuse.
+    """
+    leading = machine.leading
+    pause = now - leading.heartbeat_due
+    timeout = machine.timing.election_timeout_s
+    in_contact_before = leading.heartbeat_due - contact < timeout
+    if pause > machine.timing.heartbeat_s and in_contact_before:
+        leading.excused_until = now + min(pause, timeout)
+
+
 def advance_commit(machine) -> None:
     """Commit what a quorum holds, but only with an own entry."""
     own = machine.log.last_index
--- a/chivescale/agreement/tests/steps/agreement_steps.py
+++ b/chivescale/agreement/tests/steps/agreement_steps.py
@@ -228,6 +228,26 @@
     context.world.freeze(context.roles["leader"], seconds)
 
 
+@when("every member is paused for {ms:d} ms and wakes within {spread:d} ms")
+def pause_all(context, ms, spread):
+    world = context.world
+    for name in NAMES:
+        late_s = world.rng.uniform(0, spread) / 1000
+        world.freeze(name, ms / 1000 + late_s)
+
+
+@then(
+    "the frozen leader's contact is over {seconds:d} s old the moment it"
+    " resumes"
+)
+def contact_is_old(context, seconds):
+    world = context.world
+    former = world.hosts[context.roles["leader"]]
+    machine = former.machine
+    assert machine.role is ag.Role.LEADER
+    assert machine.contact_age_s(former.frozen_until) > seconds
+
+
 @when("a command is accepted on another leader")
 def accept_elsewhere(context):
     former = context.world.hosts[context.roles["leader"]]
--- a/chivescale/cli/_control.py
+++ b/chivescale/cli/_control.py
@@ -2,8 +2,8 @@
 
 import argparse
 import asyncio
-import time
 
+from chivescale import clock
 from chivescale.cli._report import ExitCode, Report, report_failure
 from chivescale.cli._status import ask_entry_hosts
 from chivescale.cli._system import System
@@ -44,8 +44,8 @@
     system: System, name: str, seconds: float, report: Report
 ) -> None:
     """Wait until the host serves no caller or has ended."""
-    deadline = time.monotonic() + seconds
-    while time.monotonic() < deadline:
+    deadline = clock.now() + seconds
+    while clock.now() < deadline:
         answers = await ask_entry_hosts(system)
         if not is_failure(answers) and _is_drained(answers, name):
             report.data["drained"] = True
--- a/chivescale/cli/_leader.py
+++ b/chivescale/cli/_leader.py
@@ -1,9 +1,9 @@
 """Requests to the control leader from outside the system."""
 
 import asyncio
-import time
 import typing
 
+from chivescale import clock
 from chivescale.errors import ErrorKind, Failure, is_failure
 from chivescale.transport import Client
 
@@ -61,18 +61,18 @@
             The last failure once `timeout_s` has passed; ``TIMEOUT`` if any
             attempt may have taken effect.
         """
-        deadline = time.monotonic() + timeout_s
+        deadline = clock.now() + timeout_s
         pause_s = FIRST_PAUSE_S
         in_doubt = False
         answer: typing.Any = Failure(ErrorKind.UNREACHABLE, "no time left")
-        while time.monotonic() < deadline:
+        while clock.now() < deadline:
             answer, doubt = await self._round(
                 method, path, reply_type, body, deadline
             )
             in_doubt = in_doubt or doubt
             if not is_failure(answer) or answer.kind not in _TRY_NEXT:
                 return answer
-            left = deadline - time.monotonic()
+            left = deadline - clock.now()
             await asyncio.sleep(max(0.0, min(pause_s, left)))
             pause_s = min(2 * pause_s, MAX_PAUSE_S)
         if in_doubt:
@@ -88,7 +88,7 @@
         answer = Failure(ErrorKind.UNREACHABLE, "no control host")
         while waiting:
             address = waiting.pop(0)
-            left = deadline - time.monotonic()
+            left = deadline - clock.now()
             if address in asked or left <= 0:
                 continue
             asked.add(address)
--- a/chivescale/cli/_sheet.py
+++ b/chivescale/cli/_sheet.py
@@ -2,8 +2,8 @@
 
 import argparse
 import asyncio
-import time
 
+from chivescale import clock
 from chivescale.cli._report import ExitCode, Report, report_failure, table
 from chivescale.cli._status import ask_entry_hosts
 from chivescale.cli._system import System, read_file, run_with_system
@@ -125,14 +125,14 @@
     system: System, index: int, seconds: float, report: Report
 ) -> None:
     """Wait until every entry host has applied the index."""
-    deadline = time.monotonic() + seconds
+    deadline = clock.now() + seconds
     while True:
         late = await _late_hosts(system, index)
         if late == []:
             report.data["late_hosts"] = []
             report.lines.append("in force on every entry host")
             return
-        if time.monotonic() >= deadline:
+        if clock.now() >= deadline:
             break
         await asyncio.sleep(POLL_S)
     report.code = ExitCode.REFUSED
--- a/chivescale/control/_host.py
+++ b/chivescale/control/_host.py
@@ -2,9 +2,9 @@
 
 import asyncio
 import pathlib
-import time
 import typing
 
+from chivescale import clock
 from chivescale.agreement import AgreementHost, Callbacks, DurableLog, Role
 from chivescale.control._leadership import Leadership
 from chivescale.control._routes import make_routes
@@ -184,25 +184,19 @@
         return Failure(ErrorKind.NOT_LEADER, reason, redirect=address)
 
     def authoritative(self) -> bool:
-        """Tell whether this host is in contact with a quorum.
-
-        A leader steps down without one. A follower that hears the leader
-        is in contact through it.
-        """
+        """Tell whether this host is in contact with a quorum."""
         machine = self.agreement.machine
         if machine is None or self.agreement.failure is not None:
             return False
-        if machine.role is Role.LEADER:
-            return machine.ready
-        if machine.leader is None or machine.leader_contact is None:
+        if machine.role is Role.LEADER and not machine.ready:
             return False
-        age_s = time.monotonic() - machine.leader_contact
+        age_s = machine.contact_age_s(clock.now())
         return age_s < machine.timing.election_timeout_s
 
     async def watch(self, after: int, deadline: float) -> WatchReply:
         """Wait for a state above `after` and return the changes."""
         while self.state.index <= after and not self.stopping:
-            left_s = deadline - time.monotonic()
+            left_s = deadline - clock.now()
             if left_s <= 0 or not await self._wait(left_s):
                 break
         if after > self.state.index:
--- a/chivescale/control/_leadership.py
+++ b/chivescale/control/_leadership.py
@@ -3,11 +3,10 @@
 import asyncio
 import collections
 import random
-import time
 import typing
 
+from chivescale import clock, membership
 from chivescale import failover as fo
-from chivescale import membership
 from chivescale.control._requests import execute
 from chivescale.errors import is_failure
 from chivescale.limits import LeaseBook
@@ -71,7 +70,7 @@
         metrics: typing.Any = None,
         rng: random.Random | None = None,
     ):
-        now = time.monotonic()
+        now = clock.now()
         self.settings = settings
         self.state = state
         self.client = client
@@ -106,7 +105,7 @@
     def close(self) -> None:
         """Stop at once; answers that still arrive have no effect."""
         self.closed = True
-        now = time.monotonic()
+        now = clock.now()
         for failover in self.failovers.values():
             failover.step(fo.LeadershipLost(), now)
         for task in list(self.tasks):
@@ -118,10 +117,10 @@
         task.add_done_callback(self.tasks.discard)
 
     async def _run(self) -> None:
-        last = time.monotonic()
+        last = clock.now()
         while not self.closed:
             await asyncio.sleep(BUSY_TICK_S)
-            now = time.monotonic()
+            now = clock.now()
             try:
                 self._tick(now, now - last)
             except Exception as err:  # without ticks nothing would fail over
@@ -159,7 +158,7 @@
         hosts, endpoints : bool
             Whether any host, or any endpoint or voter, changed.
         """
-        now = time.monotonic()
+        now = clock.now()
         state = self.state
         if hosts:
             self.watchers.clear()
@@ -203,7 +202,7 @@
 
     def heartbeat(self, heartbeat: Heartbeat) -> tuple[Lease, ...]:
         """Take in a heartbeat and return the leases of the host."""
-        now = time.monotonic()
+        now = clock.now()
         event = membership.HostHeartbeat(heartbeat)
         self._execute_batches(self.hosts.step(event, now))
         return self.leases.heartbeat(
@@ -216,7 +215,7 @@
 
     def announce(self, status: EndpointStatus) -> None:
         """Take in an announcement."""
-        now = time.monotonic()
+        now = clock.now()
         if self.endpoints.is_stale(status, now):
             self.counts["stale_announcements"] += 1
             return
@@ -226,14 +225,14 @@
 
     def suspect(self, suspicion: Suspicion) -> None:
         """Take in the verdict of a watcher."""
-        now = time.monotonic()
+        now = clock.now()
         self.counts["suspicions"] += 1
         self.verdicts.record(suspicion, now)
         self._judge(suspicion.service, now)
 
     def live_hosts(self) -> tuple[str, ...]:
         """Return the entry hosts with a recent heartbeat."""
-        now = time.monotonic()
+        now = clock.now()
         return tuple(
             sorted(
                 name
@@ -325,15 +324,15 @@
         if isinstance(event, fo.PositionAnswered) and not self.closed:
             # As good as an announcement, and those can get lost.
             heard = membership.EndpointAnnounced(event.status)
-            now = time.monotonic()
+            now = clock.now()
             self._execute_batches(self.endpoints.step(heard, now))
         if event is not None:
-            self._drive(service, event, time.monotonic())
+            self._drive(service, event, clock.now())
 
     async def _propose(
         self, service: str, command: BeginTerm | EstablishTerm
     ) -> None:
-        deadline = time.monotonic() + self.timing.attempt_timeout_s
+        deadline = clock.now() + self.timing.attempt_timeout_s
         outcome = await self.submit(encode(command), deadline)
         if is_failure(outcome):
             log_event(
@@ -346,7 +345,7 @@
             event = fo.ProposalFailed(command)
         else:
             event = self._committed(service, command, outcome.result)
-        self._drive(service, event, time.monotonic())
+        self._drive(service, event, clock.now())
 
     def _committed(self, service: str, command, result) -> fo.Committed:
         if isinstance(result, TermBegun | TermEstablished):
@@ -362,7 +361,7 @@
             self._spawn(self._propose_membership(command))
 
     async def _propose_membership(self, command: Command) -> None:
-        deadline = time.monotonic() + PROPOSE_TIMEOUT_S
+        deadline = clock.now() + PROPOSE_TIMEOUT_S
         outcome = await self.submit(encode(command), deadline)
         if is_failure(outcome):
             # The tables propose it again while it is needed.
--- a/chivescale/control/_requests.py
+++ b/chivescale/control/_requests.py
@@ -1,7 +1,6 @@
 """Requests of the control leader to endpoints."""
 
-import time
-
+from chivescale import clock
 from chivescale import failover as fo
 from chivescale.errors import ErrorKind, is_failure
 from chivescale.messages import (
@@ -27,7 +26,7 @@
         Answer or failure for the state machine; None for a plain success
         that it does not wait for.
     """
-    asked_at = time.monotonic()
+    asked_at = clock.now()
     method, path, reply_type, body = _describe(service, effect)
     reply = await client.call(
         effect.address,
--- a/chivescale/control/_routes.py
+++ b/chivescale/control/_routes.py
@@ -1,9 +1,9 @@
 """Requests that a control host serves."""
 
 import asyncio
-import time
 import typing
 
+from chivescale import clock
 from chivescale.agreement import Role
 from chivescale.errors import ErrorKind, Failure, is_failure
 from chivescale.messages import (
@@ -92,7 +92,7 @@
         return host.agreement.failure
     if after < 0 or wait_s < 0:
         return Failure(ErrorKind.BAD_REQUEST, "query: negative number")
-    now = asyncio.get_running_loop().time()
+    now = clock.now()
     latest = request.deadline - WATCH_MARGIN_S
     deadline = min(now + min(wait_s, MAX_WATCH_S), latest)
     return await host.watch(after, deadline)
@@ -123,7 +123,7 @@
     progress = {}
     if machine is not None and machine.role is Role.LEADER:
         progress = machine.leading.progress
-    now = time.monotonic()
+    now = clock.now()
     members = []
     for member in agreement.configuration.members:
         match, contact_ms = -1, -1
--- a/chivescale/coordinator/_host.py
+++ b/chivescale/coordinator/_host.py
@@ -12,7 +12,6 @@
     AgreementMessage,
     Callbacks,
     DurableLog,
-    Role,
 )
 from chivescale.catalog import Catalog, StoreResult
 from chivescale.clock import now
@@ -210,11 +209,7 @@
         machine = self.agreement.machine
         if machine is None or self.agreement.failure is not None:
             return float("inf")
-        if machine.role is Role.LEADER:
-            return 0.0
-        if machine.leader is None or machine.leader_contact is None:
-            return float("inf")
-        return now() - machine.leader_contact
+        return machine.contact_age_s(now())
 
     # What operators and endpoints ask for.
 
--- a/chivescale/entry/_api.py
+++ b/chivescale/entry/_api.py
@@ -1,10 +1,10 @@
 """HTTP routes of an entry host."""
 
 import asyncio
-import time
 
 import msgspec
 
+from chivescale import clock
 from chivescale.errors import ErrorKind, Failure, is_failure
 from chivescale.messages import Accepted, Announcement
 from chivescale.transport import Request, Route
@@ -60,7 +60,7 @@
             "/v1/endpoints/announce",
             Accepted,
             request.body,
-            min(request.deadline, time.monotonic() + RELAY_TIMEOUT_S),
+            min(request.deadline, clock.now() + RELAY_TIMEOUT_S),
         )
 
     async def state(request: Request):
--- a/chivescale/entry/_callers.py
+++ b/chivescale/entry/_callers.py
@@ -1,8 +1,8 @@
 """Callers of an entry host: login, statements, draining."""
 
 import asyncio
-import time
 
+from chivescale import clock
 from chivescale.errors import ErrorKind, Failure, is_failure
 from chivescale.limits import WorkspaceLimits
 from chivescale.messages import WorkspaceRecord
@@ -109,7 +109,7 @@
         if refused is not None:
             return refused
         session.data = CallerState()
-        session.data.used_at = time.monotonic()
+        session.data.used_at = clock.now()
         self.sessions[session] = None
         return None
 
@@ -129,7 +129,7 @@
 
     async def execute(self, session: CallerSession, sql: str, attrs: dict):
         """Run one statement."""
-        call = Call(self.environment, session, sql, attrs, time.monotonic())
+        call = Call(self.environment, session, sql, attrs, clock.now())
         try:
             answer = await self.run_call(call)
         finally:
@@ -148,7 +148,7 @@
     async def sweep(self) -> None:
         """End transactions that their callers left idle."""
         while True:
-            now = time.monotonic()
+            now = clock.now()
             for session in list(self.sessions):
                 self._end_idle(session, now)
             await asyncio.sleep(SWEEP_INTERVAL_S * 10)
@@ -169,8 +169,8 @@
     async def drain(self, timeout_s: float) -> bool:
         """Let work end, then close; tell whether all ended in time."""
         self.environment.draining = True
-        until = time.monotonic() + timeout_s
-        while self.sessions and time.monotonic() < until:
+        until = clock.now() + timeout_s
+        while self.sessions and clock.now() < until:
             for session in list(self.sessions):
                 if not session.executing and not session.in_transaction:
                     session.kill(_DRAINING)
--- a/chivescale/entry/_heartbeat.py
+++ b/chivescale/entry/_heartbeat.py
@@ -2,8 +2,8 @@
 
 import asyncio
 import collections.abc
-import time
 
+from chivescale import clock
 from chivescale.errors import ErrorKind, is_failure
 from chivescale.messages import Heartbeat, HeartbeatReply
 from chivescale.transport import Client
@@ -34,9 +34,9 @@
         """
         answer = None
         tries = [self.leader, *self.control]
-        while tries and time.monotonic() < deadline:
+        while tries and clock.now() < deadline:
             address = tries.pop(0)
-            left = deadline - time.monotonic()
+            left = deadline - clock.now()
             answer = await self.client.call(
                 address,
                 method,
@@ -81,7 +81,7 @@
     seconds.
     """
     while True:
-        started = time.monotonic()
+        started = clock.now()
         reply = await calls.call(
             "POST",
             "/v1/hosts/heartbeat",
@@ -91,5 +91,5 @@
         )
         if reply is not None and not is_failure(reply):
             receive(reply, started)
-        elapsed = time.monotonic() - started
+        elapsed = clock.now() - started
         await asyncio.sleep(max(0.0, interval_s - elapsed))
--- a/chivescale/entry/_host.py
+++ b/chivescale/entry/_host.py
@@ -4,9 +4,8 @@
 import random
 import secrets
 import ssl
-import time
 
-from chivescale import mysql
+from chivescale import clock, mysql
 from chivescale.entry._api import EntryStatus, entry_routes
 from chivescale.entry._callers import Callers
 from chivescale.entry._heartbeat import LeaderCalls, send_heartbeats
@@ -210,7 +209,7 @@
     def status(self) -> EntryStatus:
         """Return the state of the host for operators."""
         state = self.watch.state
-        now = time.monotonic()
+        now = clock.now()
         ages = {
             name: service.view.freshness.proven_age_s(name, now)
             for service in self.services.by_name.values()
--- a/chivescale/entry/_probes.py
+++ b/chivescale/entry/_probes.py
@@ -1,9 +1,8 @@
 """Probes of an entry host that watches services."""
 
 import asyncio
-import time
 
-from chivescale import failover
+from chivescale import clock, failover
 from chivescale.errors import ErrorKind, is_failure
 from chivescale.membership import watchers_of
 from chivescale.messages import Accepted, EndpointStatus, HostRecord
@@ -92,12 +91,12 @@
         while True:
             for name, watcher in list(self.watchers.items()):
                 self._step(name, watcher, failover.Tick(late_s))
-            due = time.monotonic() + interval_s
+            due = clock.now() + interval_s
             await asyncio.sleep(interval_s)
-            late_s = max(0.0, time.monotonic() - due)
+            late_s = max(0.0, clock.now() - due)
 
     def _step(self, service: str, watcher, event) -> None:
-        for effect in watcher.step(event, time.monotonic()):
+        for effect in watcher.step(event, clock.now()):
             if isinstance(effect, failover.Probe):
                 self._spawn(self._probe(service, watcher, effect))
             else:
@@ -133,7 +132,7 @@
             "/v1/suspicions",
             Accepted,
             suspicion,
-            time.monotonic() + REPORT_TIMEOUT_S,
+            clock.now() + REPORT_TIMEOUT_S,
         )
 
     def close(self) -> None:
--- a/chivescale/entry/_services.py
+++ b/chivescale/entry/_services.py
@@ -1,8 +1,8 @@
 """Services, endpoints and pools of an entry host."""
 
 import collections.abc
-import time
 
+from chivescale import clock
 from chivescale.messages import EndpointRecord, EndpointStatus, Lease
 from chivescale.pipeline import EndpointGate, Service, ServiceView
 from chivescale.pool import Pool
@@ -73,7 +73,7 @@
             return
         gate = service.primary()
         if gate is not None and before.term > 0:
-            gate.limit.ramp(time.monotonic())
+            gate.limit.ramp(clock.now())
         log_event(
             "term_in_force",
             service=service.name,
@@ -102,7 +102,7 @@
         pool = Pool(
             record,
             self.connect,
-            time.monotonic,
+            clock.now,
             connect_timeout_s=self.settings.connect_timeout_ms / 1000,
             idle_s=self.settings.idle_s,
         )
@@ -158,7 +158,7 @@
 
     def expire_leases(self) -> None:
         """Fall back to the floor when leases were not renewed."""
-        if time.monotonic() >= self.leased_until:
+        if clock.now() >= self.leased_until:
             for gate in self.gates():
                 gate.pool.set_limit(self.settings.floor_connections)
 
--- a/chivescale/entry/_watch.py
+++ b/chivescale/entry/_watch.py
@@ -2,8 +2,8 @@
 
 import asyncio
 import collections.abc
-import time
 
+from chivescale import clock
 from chivescale.errors import is_failure
 from chivescale.messages import WatchReply
 from chivescale.state import ClusterState
@@ -63,14 +63,14 @@
         it, or a host it can ask, has served. Without an answer backed by a
         control quorum, the highest state found is used after `grace_s`.
         """
-        started = time.monotonic()
+        started = clock.now()
         while True:
             replies = await self._ask_all("/v1/watch", self.control)
             self._merge_all(replies)
             peers = [host.api_address for host in self.state.hosts.values()]
             self._merge_all(await self._ask_all("/v1/state", peers))
             quorum = any(reply.authoritative for reply in replies)
-            waited = time.monotonic() - started
+            waited = clock.now() - started
             if quorum or (self.state.index > 0 and waited >= grace_s):
                 break
             await asyncio.sleep(RETRY_PAUSE_S)
--- a/chivescale/entry/tests/virtual_time.py
+++ b/chivescale/entry/tests/virtual_time.py
@@ -71,6 +71,9 @@
     def identifier():
         return uuid.UUID(bytes=source.randbytes(16), version=4)
 
+    # The functions of the module `random` share one generator.
+    state = random.getstate()
+    random.seed(seed)
     with (
         mock.patch.object(time, "monotonic", loop.time),
         mock.patch.object(time, "clock_gettime", lambda _: loop.time()),
@@ -82,6 +85,7 @@
             yield loop
         finally:
             _finish(loop)
+            random.setstate(state)
 
 
 def _finish(loop: VirtualLoop) -> None:
--- a/chivescale/httpio/_client.py
+++ b/chivescale/httpio/_client.py
@@ -5,6 +5,7 @@
 
 import h11
 
+from chivescale import clock
 from chivescale.errors import ErrorKind, Failure, is_failure
 from chivescale.httpio._server import HttpResponse
 from chivescale.lines import keep_alive
@@ -105,11 +106,10 @@
         return response
 
     def _take(self, address: str) -> "_ClientConnection | None":
-        loop = asyncio.get_running_loop()
         waiting = self.idle.get(address, [])
         while waiting:
             connection = waiting.pop()
-            age = loop.time() - connection.idle_since
+            age = clock.now() - connection.idle_since
             if connection.usable and age < IDLE_CONNECTION_S:
                 return connection
             connection.close()
@@ -118,7 +118,7 @@
     def _give_back(self, address: str, connection) -> None:
         waiting = self.idle.setdefault(address, [])
         if connection.usable and len(waiting) < MAX_IDLE_CONNECTIONS:
-            connection.idle_since = asyncio.get_running_loop().time()
+            connection.idle_since = clock.now()
             waiting.append(connection)
         else:
             connection.close()
--- a/chivescale/link/_link.py
+++ b/chivescale/link/_link.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from chivescale import clock
 from chivescale.dialect import (
     AnswerEnd,
     Completed,
@@ -181,7 +182,7 @@
     link = Link(dialect)
     host, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
-    started = loop.time()
+    started = clock.now()
     try:
         async with asyncio.timeout(timeout_s):
             await loop.create_connection(lambda: link.channel, host, int(port))
@@ -189,7 +190,7 @@
         return Failure(ErrorKind.CONNECTION_REFUSED, f"{address}: {err}")
     except (OSError, TimeoutError) as err:
         return Failure(ErrorKind.UNREACHABLE, f"{address}: {err!r}")
-    left = max(0.001, timeout_s - (loop.time() - started))
+    left = max(0.001, timeout_s - (clock.now() - started))
     replies = await link.exchange(dialect.open(service, endpoint), 1, left)
     if is_failure(replies):
         link.abort()
--- a/chivescale/mysql/_client.py
+++ b/chivescale/mysql/_client.py
@@ -3,12 +3,12 @@
 import asyncio
 import re
 import ssl
-import time
 
 from asyncmy.connection import Connection
 from asyncmy.constants.CLIENT import MULTI_STATEMENTS
 from asyncmy.errors import MySQLError
 
+from chivescale import clock
 from chivescale.errors import ErrorKind, Failure
 from chivescale.mysql._result import Column, QueryResult, parse_commit
 
@@ -85,7 +85,7 @@
             self.session_changed = True
         self.busy = True
         try:
-            async with asyncio.timeout(deadline - time.monotonic()):
+            async with asyncio.timeout(deadline - clock.now()):
                 await self.driver.query(sql)
             if self.driver._result.has_next:
                 self.close()
@@ -203,7 +203,7 @@
     # classified.
     driver._client_flag &= ~MULTI_STATEMENTS
     try:
-        async with asyncio.timeout(deadline - time.monotonic()):
+        async with asyncio.timeout(deadline - clock.now()):
             await driver.connect()
     except MySQLError as err:
         return _connect_failure(address, err)
--- a/chivescale/pipeline/_admission.py
+++ b/chivescale/pipeline/_admission.py
@@ -1,7 +1,6 @@
 """First filters: may this caller run a statement now, and which one."""
 
-import time
-
+from chivescale import clock
 from chivescale.errors import ErrorKind, Failure, is_failure
 from chivescale.messages import ServiceBinding, WorkspaceRecord
 from chivescale.pipeline._call import Answer, Call, Environment, Step
@@ -29,7 +28,7 @@
     if is_failure(answer):
         metrics.count_failure(answer.kind.value)
     if call.measured and call.workspace is not None:
-        elapsed = time.monotonic() - call.started
+        elapsed = clock.now() - call.started
         metrics.observe_statement(call.workspace.name, call.measured, elapsed)
     return answer
 
--- a/chivescale/pipeline/_dispatch.py
+++ b/chivescale/pipeline/_dispatch.py
@@ -1,7 +1,6 @@
 """Last step of the request path: what a statement of each class does."""
 
-import time
-
+from chivescale import clock
 from chivescale.errors import ErrorKind, Failure, is_failure
 from chivescale.mysql import (
     TYPE_LONGLONG,
@@ -42,7 +41,7 @@
         if call.kind is not StatementClass.ROLLBACK:
             return failure
     answer = await following(call)
-    state.used_at = time.monotonic()
+    state.used_at = clock.now()
     if not is_failure(answer):
         if not answer.columns:
             state.row_count = answer.affected_rows
--- a/chivescale/pipeline/_gate.py
+++ b/chivescale/pipeline/_gate.py
@@ -2,8 +2,8 @@
 
 import asyncio
 import collections.abc
-import time
 
+from chivescale import clock
 from chivescale.errors import Failure, is_failure
 from chivescale.limits import AdaptiveLimit, FairQueue
 from chivescale.messages import EndpointRecord
@@ -55,7 +55,7 @@
 
     async def enter(self, workspace: str, deadline: float) -> Failure | None:
         """Wait for a place; every None needs one `leave`."""
-        now = time.monotonic()
+        now = clock.now()
         if not len(self.queue) and self.limit.try_acquire(now):
             return None
         place = asyncio.get_running_loop().create_future()
@@ -80,7 +80,7 @@
 
     def leave(self, latency_s: float, ok: bool) -> None:
         """Return a place and let the next statements in."""
-        now = time.monotonic()
+        now = clock.now()
         self.limit.release(latency_s, ok, now)
         if ok:
             self.answered_at = now
@@ -90,7 +90,7 @@
 
     def suspect(self) -> None:
         """Avoid the endpoint for reads for a while."""
-        self.suspect_until = time.monotonic() + SUSPECT_S
+        self.suspect_until = clock.now() + SUSPECT_S
 
     def close(self) -> None:
         """Close the pool and stop the timer."""
@@ -103,7 +103,7 @@
         self._pump()
 
     def _pump(self) -> None:
-        now = time.monotonic()
+        now = clock.now()
         for place, failure in self.queue.expire(now):
             if not place.done():
                 place.set_result(failure)
@@ -144,14 +144,14 @@
     QueryResult or Failure
         Failures of the gate come before any byte left.
     """
-    arrived = time.monotonic()
+    arrived = clock.now()
     if connection.in_transaction:
         gate.join()
     else:
         refused = await gate.enter(workspace, deadline)
         if refused is not None:
             return refused
-    started = time.monotonic()
+    started = clock.now()
     observe_queue(started - arrived)
     answer = None
     try:
@@ -161,4 +161,4 @@
         ok = answer is not None and (
             not is_failure(answer) or answer.errno != 0
         )
-        gate.leave(time.monotonic() - started, ok)
+        gate.leave(clock.now() - started, ok)
--- a/chivescale/pipeline/_keyed.py
+++ b/chivescale/pipeline/_keyed.py
@@ -1,8 +1,8 @@
 """Writes with an idempotency key."""
 
 import asyncio
-import time
 
+from chivescale import clock
 from chivescale.errors import ErrorKind, Failure, is_failure
 from chivescale.messages import EndpointStatus
 from chivescale.mysql import QueryResult
@@ -44,7 +44,7 @@
         answer = await _attempt(call, key, primary)
         if answer is not None:
             return answer
-        if time.monotonic() >= call.deadline:
+        if clock.now() >= call.deadline:
             return Failure(
                 ErrorKind.KEY_IN_PROGRESS, f"key {key.key} is in use"
             )
@@ -85,7 +85,7 @@
         return None
     if outcome.kind is ErrorKind.TIMEOUT:
         # COMMIT was not sent, so the endpoint rolls back.
-        if not progress.begun and time.monotonic() < call.deadline:
+        if not progress.begun and clock.now() < call.deadline:
             return None
         return Failure(ErrorKind.DID_NOT_RUN, outcome.reason)
     return outcome
@@ -239,7 +239,7 @@
     only on a primary of a later term that is another endpoint: on the same
     endpoint the commit could still be waiting to run.
     """
-    while time.monotonic() < call.deadline:
+    while clock.now() < call.deadline:
         primary = await connect_primary(call)
         if is_failure(primary):
             break
@@ -250,7 +250,7 @@
         if answer is not None and not _is_unknown(answer):
             return answer
         await call.service.view.wait_change(
-            min(call.deadline, time.monotonic() + LOOKUP_PAUSE_S)
+            min(call.deadline, clock.now() + LOOKUP_PAUSE_S)
         )
     return Failure(
         ErrorKind.OUTCOME_UNKNOWN, f"the commit of key {key.key} is in doubt"
--- a/chivescale/pipeline/_primary.py
+++ b/chivescale/pipeline/_primary.py
@@ -1,10 +1,10 @@
 """What writes and transactions share: the primary and confirmation."""
 
 import asyncio
-import time
 
 import msgspec
 
+from chivescale import clock
 from chivescale.errors import ErrorKind, Failure, is_failure
 from chivescale.messages import Position
 from chivescale.mysql import ClientConnection, QueryResult
@@ -46,14 +46,12 @@
             reason = found
         else:
             reason = gate
-        left = call.deadline - time.monotonic()
+        left = call.deadline - clock.now()
         if left <= 0:
             return _not_started(reason)
         pause = RECHECK_S / 2 + backoff_s(attempt, call.environment.rng)
         attempt += 1
-        await call.service.view.wait_change(
-            time.monotonic() + min(left, pause)
-        )
+        await call.service.view.wait_change(clock.now() + min(left, pause))
 
 
 _FINAL = {
@@ -84,14 +82,14 @@
     view = call.service.view
     term = view.record.term
     wait_s = call.environment.entry.barrier_timeout_ms / 1000
-    until = min(call.deadline, time.monotonic() + wait_s)
+    until = min(call.deadline, clock.now() + wait_s)
     missing = await view.check_quorum(until)
     if missing is not None:
         return missing
-    started = time.monotonic()
+    started = clock.now()
     connection = await gate.pool.acquire(call.deadline, call.session.workspace)
     call.environment.metrics.observe_pool_wait(
-        gate.record.endpoint, time.monotonic() - started
+        gate.record.endpoint, clock.now() - started
     )
     if is_failure(connection):
         return connection
@@ -116,13 +114,13 @@
     """
     task = asyncio.ensure_future(work)
     view = call.service.view
-    started = time.monotonic()
+    started = clock.now()
     silence_s = call.environment.pool.silence_timeout_ms / 1000
     judged = False
     try:
         while not task.done():
             changed = asyncio.ensure_future(view.changed.wait())
-            left_s = max(0.0, started + silence_s - time.monotonic())
+            left_s = max(0.0, started + silence_s - clock.now())
             try:
                 await asyncio.wait(
                     {task, changed},
@@ -131,7 +129,7 @@
                 )
             finally:
                 changed.cancel()
-            if not judged and time.monotonic() >= started + silence_s:
+            if not judged and clock.now() >= started + silence_s:
                 judged = True
                 _judge_silence(primary.gate, task, started)
             if not task.done() and view.record.term > primary.term:
@@ -183,7 +181,7 @@
     silence_s = call.environment.pool.silence_timeout_ms / 1000
     try:
         await asyncio.wait({task}, timeout=silence_s)
-        left_s = call.deadline - time.monotonic()
+        left_s = call.deadline - clock.now()
         if not task.done() and not connection.usable and left_s > silence_s:
             if call.environment.retries.try_retry():
                 return Failure(ErrorKind.TIMEOUT, "connection went silent")
--- a/chivescale/pipeline/_read.py
+++ b/chivescale/pipeline/_read.py
@@ -1,10 +1,10 @@
 """Reads outside transactions."""
 
 import asyncio
-import time
 
 import msgspec
 
+from chivescale import clock
 from chivescale.errors import ErrorKind, Failure, is_failure
 from chivescale.messages import Position
 from chivescale.pipeline._call import Answer, Call
@@ -77,7 +77,7 @@
     call: Call, primary: EndpointGate, plan: _Plan
 ) -> EndpointGate:
     """Return a replica that reaches the barrier shortly, or the primary."""
-    now = time.monotonic()
+    now = clock.now()
     if _left(call) < 4 * REPLICA_WAIT_S:
         return primary
     view = call.service.view
@@ -118,7 +118,7 @@
         )
         return _Plan(need, 0, False)
     wait_s = call.environment.entry.barrier_timeout_ms / 1000
-    until = min(call.deadline, time.monotonic() + wait_s)
+    until = min(call.deadline, clock.now() + wait_s)
     ready = await call.service.view.barrier(until)
     if is_failure(ready):
         return ready
@@ -137,7 +137,7 @@
 def _choose(call: Call, plan: _Plan) -> EndpointGate | Failure:
     service = call.service
     record = service.view.record
-    now = time.monotonic()
+    now = clock.now()
     candidates = [
         _candidate(service.view, gate, record.primary, plan, now)
         for gate in service.gates.values()
@@ -174,10 +174,10 @@
     name = gate.record.endpoint
     primary = name == call.service.view.record.primary
     call.measured = "read_primary" if primary else "read_replica"
-    waited_from = time.monotonic()
+    waited_from = clock.now()
     connection = await gate.pool.acquire(call.deadline, call.session.workspace)
     metrics = call.environment.metrics
-    metrics.observe_pool_wait(name, time.monotonic() - waited_from)
+    metrics.observe_pool_wait(name, clock.now() - waited_from)
     if is_failure(connection):
         gate.suspect()
         return connection
@@ -243,7 +243,7 @@
         deadline=call.deadline,
         errno=failure.errno,
     )
-    if not may_resend(failed, time.monotonic()):
+    if not may_resend(failed, clock.now()):
         return False
     return call.environment.retries.try_retry()
 
@@ -256,4 +256,4 @@
 
 
 def _left(call: Call) -> float:
-    return max(0.0, call.deadline - time.monotonic())
+    return max(0.0, call.deadline - clock.now())
--- a/chivescale/pipeline/_service.py
+++ b/chivescale/pipeline/_service.py
@@ -2,8 +2,8 @@
 
 import asyncio
 import collections.abc
-import time
 
+from chivescale import clock
 from chivescale import session as decisions
 from chivescale.errors import ErrorKind, Failure, is_failure
 from chivescale.messages import EndpointStatus, Position, ServiceRecord
@@ -70,7 +70,7 @@
             self._barrier_event(_term_changed(record))
             self._confirm_event(decisions.TermEstablished(record))
             self.freshness.term_changed(record)
-            self.quorum_at = time.monotonic()
+            self.quorum_at = clock.now()
         self.changed.set()
         self.changed = asyncio.Event()
 
@@ -78,7 +78,7 @@
         """Wait until another state of the service is published."""
         changed = self.changed
         try:
-            async with asyncio.timeout(deadline - time.monotonic()):
+            async with asyncio.timeout(deadline - clock.now()):
                 await changed.wait()
         except TimeoutError:
             return False
@@ -105,7 +105,7 @@
 
     async def check_quorum(self, deadline: float) -> Failure | None:
         """Prove that a quorum of the voters answers now or did lately."""
-        if time.monotonic() - self.quorum_at < QUORUM_EVIDENCE_S:
+        if clock.now() - self.quorum_at < QUORUM_EVIDENCE_S:
             return None
         answer = await self.barrier(deadline)
         return answer if is_failure(answer) else None
@@ -158,7 +158,7 @@
             future.set_result(outcome)
 
     def _barrier_event(self, event) -> None:
-        now = time.monotonic()
+        now = clock.now()
         for effect in self.barriers.step(event, now):
             match effect:
                 case decisions.StartRound():
@@ -176,7 +176,7 @@
         self._schedule("barrier", self.barriers.wake_at, self._barrier_event)
 
     def _confirm_event(self, event) -> None:
-        now = time.monotonic()
+        now = clock.now()
         for effect in self.confirmations.step(event, now):
             match effect:
                 case decisions.AskPositions():
@@ -201,7 +201,7 @@
             timer.cancel()
         if at is None:
             return
-        delay = max(0.001, at - time.monotonic())
+        delay = max(0.001, at - clock.now())
         self.timers[name] = asyncio.get_running_loop().call_later(
             delay, handle, decisions.Tick()
         )
@@ -253,7 +253,7 @@
         address = self.addresses.get(endpoint)
         if address is None:
             return None
-        sent_at = time.monotonic()
+        sent_at = clock.now()
         status = await self.client.call(
             address,
             "GET",
@@ -264,9 +264,7 @@
         )
         if is_failure(status) or status.endpoint != endpoint:
             return None
-        self.freshness.record_status(
-            endpoint, status, sent_at, time.monotonic()
-        )
+        self.freshness.record_status(endpoint, status, sent_at, clock.now())
         self.on_status(status)
         return status
 
--- a/chivescale/pipeline/_transaction.py
+++ b/chivescale/pipeline/_transaction.py
@@ -1,7 +1,6 @@
 """Transactions: one connection from BEGIN to the answer of COMMIT."""
 
-import time
-
+from chivescale import clock
 from chivescale.errors import ErrorKind, Failure, is_failure
 from chivescale.mysql import QueryResult
 from chivescale.pipeline._call import Answer, Call, CallerState, Pinned
@@ -56,7 +55,7 @@
         _drop(primary)
         # BEGIN has no effect that could be repeated.
         again = was_refused(answer) or answer.kind is ErrorKind.TIMEOUT
-        if not again or time.monotonic() >= call.deadline:
+        if not again or clock.now() >= call.deadline:
             return Failure(ErrorKind.DID_NOT_RUN, answer.reason)
 
 
--- a/chivescale/pipeline/_write.py
+++ b/chivescale/pipeline/_write.py
@@ -1,8 +1,8 @@
 """Writes outside transactions."""
 
 import asyncio
-import time
 
+from chivescale import clock
 from chivescale.errors import ErrorKind, Failure, is_failure
 from chivescale.pipeline._call import Answer, Call
 from chivescale.pipeline._primary import (
@@ -33,7 +33,7 @@
             return await confirm(call, answer, primary.term)
         if not was_refused(answer):
             return in_doubt(answer)
-        if time.monotonic() >= call.deadline:
+        if clock.now() >= call.deadline:
             return Failure(ErrorKind.DID_NOT_RUN, answer.reason)
         await asyncio.sleep(backoff_s(attempt, call.environment.rng))
         attempt += 1
--- a/chivescale/pool/_pool.py
+++ b/chivescale/pool/_pool.py
@@ -3,8 +3,8 @@
 import asyncio
 import collections.abc
 import random
-import time
 
+from chivescale import clock
 from chivescale.errors import ErrorKind, Failure, is_failure
 from chivescale.messages import EndpointRecord
 from chivescale.mysql import ClientConnection
@@ -38,7 +38,7 @@
         self,
         record: EndpointRecord,
         connect: Connect,
-        clock=time.monotonic,
+        clock=clock.now,
         *,
         connect_timeout_s: float = 0.5,
         idle_s: float = 30.0,
--- a/chivescale/transport/_server.py
+++ b/chivescale/transport/_server.py
@@ -2,12 +2,12 @@
 
 import collections.abc
 import ssl
-import time
 import typing
 
 import msgspec
 from aiohttp import web
 
+from chivescale import clock
 from chivescale.errors import KIND_TABLE, ErrorKind, Failure, is_failure
 from chivescale.messages import ErrorBody, decode, encode
 from chivescale.telemetry import log_event
@@ -194,7 +194,7 @@
     seconds = int(text) / 1000 if text.isascii() and text.isdigit() else None
     if seconds is None:
         seconds = DEFAULT_DEADLINE_S
-    return time.monotonic() + min(seconds, MAX_DEADLINE_S)
+    return clock.now() + min(seconds, MAX_DEADLINE_S)
 
 
 def _too_large(route: Route) -> Failure:
--- a/chivescale_standin/_group.py
+++ b/chivescale_standin/_group.py
@@ -50,7 +50,8 @@
         self.rebuilding = False
         self.contact: float | None = None
         self.on_fence = []
-        self.waiters: set[asyncio.Future] = set()
+        # In the order of their arrival, so that seeded runs repeat.
+        self.waiters: dict[asyncio.Future, None] = {}
 
     @property
     def following(self) -> Following | None:
@@ -68,7 +69,7 @@
 
     def notify(self) -> None:
         """Wake everyone who waits for a change of log or role."""
-        waiters, self.waiters = self.waiters, set()
+        waiters, self.waiters = self.waiters, {}
         for waiter in waiters:
             if not waiter.done():
                 waiter.set_result(None)
@@ -79,7 +80,7 @@
         if left <= 0:
             return False
         waiter = asyncio.get_running_loop().create_future()
-        self.waiters.add(waiter)
+        self.waiters[waiter] = None
         try:
             async with asyncio.timeout(left):
                 await waiter
@@ -87,7 +88,7 @@
         except TimeoutError:
             return False
         finally:
-            self.waiters.discard(waiter)
+            self.waiters.pop(waiter, None)
 
     async def wait_position(self, wanted: Position, deadline: float) -> None:
         """Wait until `wanted` is held or the promised term moves."""
