Forward statements through gateways where connections are scarce

Change: subpackage gateway. Where an endpoint accepts fewer connections than there are entry hosts, each host works for one service, by rendezvous hashing, and the others forward statements to such a gateway, preferably one of their zone with little waiting. One connection a pair of hosts, one JSON object a line: the end of the connection ends its transactions, which HTTP/1.1 with one request at a time does not give. A gateway runs a later statement only in the transaction that its caller has begun there. Hosts learn of each other from the coordinators. An endpoint whose queue is full counts as slow, and statements that only it can run wait for a slot within half of their latency goal instead of being refused.

Ruled out: leases of single connections (0.6 a host), a connection for each statement (12 ms of a slot each and priced).

--- a/chivescale/coordinator/_messages.py
+++ b/chivescale/coordinator/_messages.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from chivescale.agreement import Member
+from chivescale.messages import EntryHostRecord
 from chivescale.registry import EndpointBeat
 
 
@@ -40,6 +41,14 @@
     packed: bytes
 
 
+class HostSeen(msgspec.Struct, frozen=True, array_like=True):
+    """An entry host, when it was heard and whether it stops."""
+
+    record: EntryHostRecord
+    age_s: float
+    leaving: bool
+
+
 class Gossip(msgspec.Struct, frozen=True):
     """Soft state that coordinators exchange.
 
@@ -47,8 +56,8 @@
     ----------
     beats : tuple of EndpointBeat
         Statements of endpoints.
-    hosts : dict of str to float
-        Entry hosts and how long ago each was heard, in seconds.
+    hosts : tuple of HostSeen
+        Entry hosts.
     suspects : tuple of str or None
         Sent by the leader.
     sender, zone : str
@@ -58,7 +67,7 @@
     sender: str = ""
     zone: str = ""
     beats: tuple[EndpointBeat, ...] = ()
-    hosts: dict[str, float] = {}
+    hosts: tuple[HostSeen, ...] = ()
     suspects: tuple[str, ...] | None = None
 
 
--- a/chivescale/coordinator/_spread.py
+++ b/chivescale/coordinator/_spread.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from chivescale.clock import now
+from chivescale.coordinator._entry_hosts import EntryHosts
 from chivescale.coordinator._messages import Gossip
 from chivescale.errors import ErrorKind, Failure, is_failure
 from chivescale.messages import (
@@ -12,15 +13,12 @@
     WatchRequest,
 )
 from chivescale.registry import EndpointBeat, EndpointView
-from chivescale.telemetry import log_event
 
 # Upper limit of a long poll; a host that waits longer could not tell a
 # silent connection from a quiet system.
 MAX_WATCH_S = 1.0
 # How often a waiting poll looks whether contact was lost.
 CONTACT_CHECK_S = 0.25
-# Entry hosts that were not heard for this long are not counted any more.
-HOST_KEPT_S = 5.0
 # A coordinator that has not heard of a quorum for this long tells the entry
 # hosts, so that they turn to another one.
 LOST_CONTACT_S = 0.5
@@ -43,8 +41,8 @@
 
     Attributes
     ----------
-    hosts : dict of str to float
-        When each entry host was heard, by any coordinator.
+    hosts : EntryHosts
+        Entry hosts heard by any coordinator.
     zones : dict of str to str
         Zones of the coordinators by address.
     suspects : tuple of str
@@ -53,7 +51,7 @@
 
     def __init__(self, host):
         self.host = host
-        self.hosts: dict[str, float] = {}
+        self.hosts = EntryHosts()
         self.suspects: tuple[str, ...] = ()
         own = host.settings
         self.zones: dict[str, str] = {own.address: own.zone}
@@ -68,7 +66,7 @@
 
     async def watch(self, request: WatchRequest) -> WatchAnswer:
         """Answer a long poll as soon as there is news."""
-        self.hosts[request.host] = now()
+        self.hosts.note(request.host, request.leaving, now())
         deadline = now() + min(request.wait_ms / 1000, MAX_WATCH_S)
         while not self._has_news(request) and now() < deadline:
             waiter = asyncio.get_running_loop().create_future()
@@ -90,12 +88,16 @@
             or request.boot != host.boot
             or request.revision < host.registry.revision
             or request.version < host.state.catalog.version
+            or request.hosts_revision != self.hosts.revision
             or request.suspects != self.suspects
         )
 
     def _answer(self, request: WatchRequest) -> WatchAnswer:
         host = self.host
-        since = request.revision if request.boot == host.boot else -1
+        same_boot = request.boot == host.boot
+        since = request.revision if same_boot else -1
+        hosts = self.hosts
+        hosts_known = same_boot and request.hosts_revision == hosts.revision
         catalog = host.state.catalog
         time = now()
         return WatchAnswer(
@@ -116,7 +118,8 @@
             },
             leader=host.agreement.leader_address,
             age_s=min(host.contact_age_s(), 1e6),
-            entry_hosts=len(self.hosts),
+            hosts_revision=hosts.revision,
+            hosts=() if hosts_known else hosts.staying,
             suspects=self.suspects,
         )
 
@@ -181,9 +184,7 @@
         """Take over what another coordinator knows."""
         time = now()
         news = [self.host.registry.note(beat, time) for beat in gossip.beats]
-        for name, age_s in gossip.hosts.items():
-            heard = time - age_s
-            self.hosts[name] = max(self.hosts.get(name, heard), heard)
+        self.hosts.merge(gossip.hosts, time)
         if gossip.sender:
             self.zones[gossip.sender] = gossip.zone
         if gossip.suspects is not None:
@@ -198,14 +199,11 @@
             await asyncio.sleep(EXCHANGE_S)
             time = now()
             self.host.registry.expire(time)
-            for name, heard in list(self.hosts.items()):
-                if time - heard > HOST_KEPT_S:
-                    del self.hosts[name]
-                    log_event("entry_host_silent", host=name)
+            self.hosts.expire(time)
             gossip = Gossip(
                 sender=self.host.settings.address,
                 zone=self.host.settings.zone,
-                hosts={name: time - at for name, at in self.hosts.items()},
+                hosts=self.hosts.to_message(time),
                 suspects=self.suspects if self.host.leading else None,
             )
             for address in self.others():
--- a/chivescale/messages/__init__.py
+++ b/chivescale/messages/__init__.py
@@ -49,12 +49,14 @@
 from chivescale.messages._watch import (
     Done,
     EndpointNews,
+    EntryHostRecord,
     OpinionReport,
     WatchAnswer,
     WatchRequest,
 )
 
 __all__ = [
+    "EntryHostRecord",
     "AcceptSheet",
     "Accepted",
     "Announcement",
--- a/chivescale/messages/_watch.py
+++ b/chivescale/messages/_watch.py
@@ -20,13 +20,33 @@
     primary_for_s: float
 
 
+class EntryHostRecord(msgspec.Struct, frozen=True, array_like=True):
+    """An entry host.
+
+    Attributes
+    ----------
+    name, zone : str
+        Identity.
+    address : str
+        ``ip:port`` for other entry hosts; empty if it serves none.
+    """
+
+    name: str
+    zone: str
+    address: str
+
+
 class WatchRequest(msgspec.Struct, frozen=True):
     """Asks for news; answered at once if there is any.
 
     Attributes
     ----------
-    host : str
-        Name of the entry host.
+    host : EntryHostRecord
+        Host that asks.
+    leaving : bool
+        Whether it stops.
+    hosts_revision : int
+        Revision of the entry hosts that the host knows.
     boot : str
         Identifier of the coordinator process that `revision` refers to.
     revision : int
@@ -39,7 +59,9 @@
         How long to wait for news.
     """
 
-    host: str
+    host: EntryHostRecord
+    leaving: bool
+    hosts_revision: int
     boot: str
     revision: int
     version: int
@@ -64,8 +86,11 @@
         Address of the leading coordinator; empty if unknown.
     age_s : float
         How long ago this coordinator was in contact with a quorum.
-    entry_hosts : int
-        Entry hosts that watch.
+    hosts_revision : int
+        What the host has to ask with next.
+    hosts : tuple of EntryHostRecord
+        Every entry host that watches, if they changed since the revision
+        asked with.
     suspects : tuple of str
         Endpoints about which the leader wants an opinion.
     """
@@ -77,7 +102,8 @@
     members: dict[str, str]
     leader: str
     age_s: float
-    entry_hosts: int
+    hosts_revision: int
+    hosts: tuple[EntryHostRecord, ...]
     suspects: tuple[str, ...]
 
 
--- a/chivescale/relay/_executor.py
+++ b/chivescale/relay/_executor.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import collections.abc
+import random
 
 from chivescale.catalog import Consistency
 from chivescale.clock import now
+from chivescale.dialect import Reply, TransactionState
 from chivescale.errors import ErrorKind, Failure, is_failure
 from chivescale.link import Link
 from chivescale.messages import Position
@@ -34,6 +36,13 @@
 # under load; an endpoint that does not is suspected.
 PREPARE_TIMEOUT_S = 0.4
 
+# An endpoint whose slots and queue are full has room again after about the
+# run time of one statement, 5 to 30 ms.
+BUSY_PAUSE_S = 0.02
+# A full queue of 16 to 24 statements before 2 or 3 slots takes this long, so
+# other endpoints are cheaper meanwhile.
+FULL_QUEUE_S = 0.15
+
 # Refusals that leave the statement free to run elsewhere.
 NOT_RUN = frozenset(
     {
@@ -91,7 +100,7 @@
                 work.session.note_commit(service.name, outcome.position)
                 return outcome
             if outcome.kind not in NOT_RUN:
-                return _write_failure(outcome)
+                return write_failure(outcome)
             failure = outcome
             if outcome.kind is not ErrorKind.ENDPOINT_READ_ONLY:
                 break
@@ -106,7 +115,8 @@
         log that another primary has already continued.
         """
         failure = None
-        while work.attempts < MAX_ATTEMPTS and not work.expired():
+        others = 0
+        while others < MAX_ATTEMPTS and not work.expired():
             endpoints = service.primaries(now())
             if not endpoints:
                 break
@@ -116,6 +126,7 @@
             if is_failure(link):
                 failure = link
                 if link.kind is ErrorKind.ENDPOINT_READ_ONLY:
+                    others += 1
                     continue
                 break
             outcome = await self._run(endpoint, link, work)
@@ -123,8 +134,13 @@
             if not is_failure(outcome):
                 return outcome
             failure = outcome
+            if outcome.kind is not ErrorKind.OVERLOADED:
+                others += 1
             if outcome.kind is ErrorKind.ENDPOINT_READ_ONLY:
                 service.note_refusal(endpoint)
+            elif outcome.kind is ErrorKind.OVERLOADED:
+                if not await wait_for_slot(work):
+                    return outcome
             elif outcome.kind is not ErrorKind.READ_INTERRUPTED:
                 # A lost answer is asked for again over another link.
                 return outcome
@@ -174,7 +190,7 @@
         failure = _no_endpoint(service)
         while True:
             time = now()
-            more = work.attempts < MAX_ATTEMPTS and not work.expired()
+            more = len(excluded) < MAX_ATTEMPTS and not work.expired()
             endpoints = service.readers(need, excluded, time) if more else []
             if endpoints and (not running or self.retries.try_retry()):
                 endpoint = endpoints[0]
@@ -189,6 +205,10 @@
             else:
                 wait_s = None
             if not running:
+                full = excluded and failure.kind is ErrorKind.OVERLOADED
+                if full and await wait_for_slot(work):
+                    excluded.clear()
+                    continue
                 return work.expired() or failure
             done, running = await asyncio.wait(
                 running,
@@ -243,7 +263,7 @@
         if outcome.kind is ErrorKind.ENDPOINT_READ_ONLY and transaction.leads:
             transaction.service.note_refusal(endpoint)
         self.abandon(transaction)
-        return _aborted(outcome)
+        return aborted(outcome)
 
     async def _start(
         self, transaction: Transaction, work: Work
@@ -305,7 +325,7 @@
         if transaction.link is None:
             failure = await self._start(transaction, work)
             if failure is not None:
-                return _aborted(failure)
+                return aborted(failure)
         endpoint, link = transaction.endpoint, transaction.link
         sent_at = now()
         outcome = await self._run(endpoint, link, work)
@@ -318,8 +338,8 @@
                 work.session.note_commit(service.name, outcome.position)
             return outcome
         if not transaction.wrote:
-            return _aborted(outcome)
-        return _write_failure(outcome)
+            return aborted(outcome)
+        return write_failure(outcome)
 
     def abandon(self, transaction: Transaction) -> None:
         """Roll back a transaction without waiting for it."""
@@ -395,9 +415,7 @@
         running = Running(started, link, work.revocable)
         endpoint.running[running] = None
         try:
-            reply = await link.statement(
-                text, work.left_s(started), work.statement.request_id
-            )
+            reply = await self._send(endpoint, link, work, text)
         finally:
             del endpoint.running[running]
         if is_failure(reply):
@@ -405,10 +423,43 @@
                 # Unused links from before may have gone silent with it.
                 endpoint.pool.drop_idle()
             return reply
-        time = now()
-        endpoint.note_answer(reply.position, time - started, time)
         return refusal_of(reply) or reply
 
+    async def _send(
+        self, endpoint: Endpoint, link: Link, work: Work, text: str
+    ) -> Reply | Failure:
+        """Send a statement; offer it again while the endpoint is full.
+
+        A read outside a transaction is offered to another endpoint instead.
+        """
+        while True:
+            started = now()
+            reply = await link.statement(
+                text, work.left_s(started), work.statement.request_id
+            )
+            if is_failure(reply):
+                return reply
+            time = now()
+            refusal = refusal_of(reply)
+            full = refusal is not None and refusal.kind is ErrorKind.OVERLOADED
+            took_s = (
+                max(FULL_QUEUE_S, time - started) if full else (time - started)
+            )
+            endpoint.note_answer(reply.position, took_s, time)
+            kept = reply.state is not TransactionState.FAILED
+            waits = work.writes or work.session.transaction is not None
+            if not (full and kept and waits and await wait_for_slot(work)):
+                return reply
+
+
+async def wait_for_slot(work: Work) -> bool:
+    """Wait before another attempt; False if it would come too late."""
+    pause_s = BUSY_PAUSE_S * random.uniform(0.5, 1.5)
+    if pause_s >= work.link_wait_s(now()):
+        return False
+    await asyncio.sleep(pause_s)
+    return True
+
 
 def _not_started(failure: Failure) -> Failure:
     """Mark a lost link on which no statement of the caller had left."""
@@ -423,7 +474,7 @@
     )
 
 
-def _write_failure(failure: Failure) -> Failure:
+def write_failure(failure: Failure) -> Failure:
     """Return what a caller is told of a write that may have run."""
     unknown = (ErrorKind.READ_INTERRUPTED, ErrorKind.TIMEOUT)
     if failure.kind in unknown:
@@ -432,7 +483,7 @@
     return failure
 
 
-def _aborted(failure: Failure) -> Failure:
+def aborted(failure: Failure) -> Failure:
     """Return what a caller is told of a transaction that was rolled back."""
     lost = (
         ErrorKind.READ_INTERRUPTED,
--- a/chivescale/relay/_follower.py
+++ b/chivescale/relay/_follower.py
@@ -5,10 +5,11 @@
 
 from chivescale.catalog import Catalog
 from chivescale.clock import now
-from chivescale.errors import is_failure
+from chivescale.errors import ErrorKind, is_failure
 from chivescale.link import open_link
 from chivescale.messages import (
     Done,
+    EntryHostRecord,
     OpinionReport,
     WatchAnswer,
     WatchRequest,
@@ -46,6 +47,7 @@
         self.current = 0
         self.boot = ""
         self.revision = -1
+        self.hosts_revision = -1
         self.suspects: tuple[str, ...] = ()
         self.leader = ""
         self.connected = False
@@ -77,9 +79,13 @@
             self.waits = True
 
     async def _poll(self, address: str):
-        catalog = self.host.catalog
+        catalog, settings = self.host.catalog, self.host.settings
         request = WatchRequest(
-            host=self.host.settings.name,
+            host=EntryHostRecord(
+                settings.name, settings.zone, settings.gateway_address
+            ),
+            leaving=self.host.stopping,
+            hosts_revision=self.hosts_revision,
             boot=self.boot,
             revision=self.revision,
             version=catalog.version if catalog else -1,
@@ -123,10 +129,14 @@
             self._apply_catalog(answer.catalog)
         for news in answer.endpoints:
             host.apply_news(news)
+        if answer.boot != self.boot:
+            self.hosts_revision = -1
         self.boot, self.revision = answer.boot, answer.revision
         if answer.members:
             self._update_members(answer.members)
-        host.set_entry_hosts(answer.entry_hosts)
+        if answer.hosts_revision != self.hosts_revision:
+            self.hosts_revision = answer.hosts_revision
+            host.set_entry_hosts(answer.hosts)
         self.leader = answer.leader
         if answer.suspects != self.suspects:
             self.suspects = answer.suspects
@@ -197,6 +207,9 @@
         endpoint = self.host.by_id.get(name)
         if endpoint is None:
             return None
+        if not self.host.executor.serves(endpoint.beat.service):
+            # Its gateways know; connections are scarce.
+            return None
         if now() - endpoint.measured_at < OPINION_TIMEOUT_S:
             return True
         beat = endpoint.beat
@@ -208,6 +221,7 @@
             OPINION_TIMEOUT_S,
         )
         if is_failure(link):
-            return False
+            # An endpoint that refuses another connection lives.
+            return link.kind is ErrorKind.ENDPOINT_FULL
         link.close()
         return True
--- a/chivescale/relay/_host.py
+++ b/chivescale/relay/_host.py
@@ -9,11 +9,14 @@
 from chivescale.clock import now
 from chivescale.dialect import CallerDialect, EndpointDialect
 from chivescale.errors import ErrorKind, Failure, is_failure
+from chivescale.gateway import gateways_of
 from chivescale.httpio import HttpClient
-from chivescale.messages import EndpointNews
+from chivescale.messages import EndpointNews, EntryHostRecord
 from chivescale.relay._endpoint import Endpoint, Service
 from chivescale.relay._executor import Executor
 from chivescale.relay._follower import Follower
+from chivescale.relay._forwarder import Forwarder
+from chivescale.relay._gateway import GatewayServer
 from chivescale.relay._reachability import Reachability
 from chivescale.relay._session import CallerSession
 from chivescale.telemetry import COUNTERS, log_decision, log_event
@@ -50,6 +53,14 @@
         Addresses of coordinators.
     stop_grace_s : float
         Time from the request to stop until the process is killed.
+    gateway_address : str
+        ``ip:port`` for other entry hosts.
+    direct_links : int
+        Every host connects to the endpoints of a service if each endpoint
+        accepts this many connections from each.
+    gateway_links : int
+        Connections to an endpoint that a gateway must be able to hold: one
+        for a transaction and one for what comes meanwhile.
     """
 
     name: str
@@ -57,6 +68,9 @@
     callers_address: str
     seeds: tuple[str, ...]
     stop_grace_s: float
+    gateway_address: str = ""
+    direct_links: int = 1
+    gateway_links: int = 2
 
 
 class RelayHost:
@@ -93,13 +107,17 @@
         self.services: dict[str, Service] = {}
         self.by_id: dict[str, Endpoint] = {}
         self.sessions: set[CallerSession] = set()
-        self.executor = Executor(self.service)
+        self.local = Executor(self.service)
+        self.executor = Forwarder(
+            settings.name, settings.zone, self.local, rng
+        )
+        self.gateway = GatewayServer(self)
         self.follower = Follower(self)
         self.reachability = Reachability(self)
         self.server: asyncio.Server | None = None
         self.tasks: list[asyncio.Task] = []
         self.stopping = False
-        self.entry_hosts = 1
+        self.entry_hosts: tuple[EntryHostRecord, ...] = ()
         self.successes = 0
         self.started_at = now()
         self.waiting_sessions: list[tuple[CallerSession, str]] = []
@@ -113,6 +131,8 @@
         self.server = await loop.create_server(
             self._accept, host, int(port), backlog=512
         )
+        if self.settings.gateway_address:
+            await self.gateway.start(self.settings.gateway_address)
         self.tasks = [
             asyncio.ensure_future(self.follower.run()),
             asyncio.ensure_future(self.reachability.run()),
@@ -151,11 +171,12 @@
         as soon as the balancer sends no new connections.
         """
         self.stopping = True
+        self.gateway.leave()
         started = now()
         grace_s = self.settings.stop_grace_s
         log_event("drain_began", sessions=len(self.sessions))
         half = started + grace_s / 2
-        while self.sessions and now() < started + grace_s * 0.8:
+        while self._busy and now() < started + grace_s * 0.8:
             await asyncio.sleep(STOP_POLL_S)
             accepting = now() < started + ACCEPT_AFTER_STOP_S
             for session in list(self.sessions):
@@ -174,12 +195,19 @@
         self.server.close()
         for session in list(self.sessions):
             session.close()
+        self.gateway.close()
+        self.executor.close()
         for task in self.tasks:
             task.cancel()
         for endpoint in self.by_id.values():
             endpoint.close()
         await self.client.close()
 
+    @property
+    def _busy(self) -> bool:
+        """Whether sessions or transactions of other hosts are open."""
+        return bool(self.sessions or self.gateway.open_transactions)
+
     async def _upkeep(self) -> None:
         while True:
             await asyncio.sleep(UPKEEP_PERIOD_S)
@@ -205,7 +233,7 @@
             options.name: options.max_connections
             for options in catalog.services
         }
-        self._share_connections()
+        self._plan_gateways()
         self._greet_waiting()
         log_event(
             "catalog_in_force",
@@ -258,7 +286,7 @@
             known = Endpoint(beat, self.endpoints)
             self.by_id[beat.endpoint] = known
             self.service(beat.service).endpoints[beat.endpoint] = known
-            self._share_connections()
+            self._share_connections(known)
         known.beat = beat
         since = now() - news.primary_for_s
         known.primary_since = since if news.primary_for_s >= 0 else 0.0
@@ -278,19 +306,42 @@
         endpoint.close()
         log_event("endpoint_forgotten", endpoint=name)
 
-    def set_entry_hosts(self, count: int) -> None:
-        """Divide the connections among this many entry hosts."""
-        if count != self.entry_hosts:
-            self.entry_hosts = max(1, count)
-            self._share_connections()
-
-    def _share_connections(self) -> None:
+    def set_entry_hosts(self, hosts: tuple[EntryHostRecord, ...]) -> None:
+        """Divide the connections among these entry hosts."""
+        self.entry_hosts = hosts
+        self._plan_gateways()
+
+    def _room(self, service: str) -> int:
+        """Return the connections to an endpoint that entry hosts share."""
+        total = self.max_connections.get(service, 0)
+        return max(1, total - RESERVED_CONNECTIONS)
+
+    def _plan_gateways(self) -> None:
+        services = tuple(self.max_connections)
+        names = {host.name for host in self.entry_hosts if host.address}
+        names.add(self.settings.name)
+        gateways = {
+            service: gateways_of(
+                service,
+                services,
+                names,
+                self._room(service),
+                self.settings.direct_links,
+                self.settings.gateway_links,
+            )
+            for service in services
+        }
+        self.executor.update(self.entry_hosts, gateways)
         for endpoint in self.by_id.values():
-            total = self.max_connections.get(endpoint.beat.service, 0)
-            room = max(1, total - RESERVED_CONNECTIONS)
-            share = max(1, room // self.entry_hosts)
-            endpoint.pool.share = share
-            endpoint.pool.limit = max(share, int(room * LARGEST_SHARE))
+            self._share_connections(endpoint)
+
+    def _share_connections(self, endpoint: Endpoint) -> None:
+        service = endpoint.beat.service
+        room = self._room(service)
+        hosts = len(self.executor.gateways.get(service, ())) or 1
+        share = max(1, room // hosts)
+        endpoint.pool.share = share
+        endpoint.pool.limit = max(share, int(room * LARGEST_SHARE))
 
     # Sessions.
 
@@ -342,6 +393,7 @@
     return {
         "attempts": work.attempts,
         "endpoint": work.endpoint,
+        "gateway": work.gateway,
         "need": f"{need.term}.{need.position}" if need else "",
         "proof_age_s": work.proof_age_s,
     }
--- a/chivescale/relay/_reachability.py
+++ b/chivescale/relay/_reachability.py
@@ -3,7 +3,6 @@
 import asyncio
 
 from chivescale.clock import now
-from chivescale.errors import is_failure
 from chivescale.telemetry import log_event
 
 PERIOD_S = 0.1
@@ -43,6 +42,7 @@
             time = now()
             for endpoint in self.host.by_id.values():
                 endpoint.check_silence(time)
+            self.host.executor.check_silence(time)
             if self.host.follower.connected:
                 self._note(False)
             elif self.host.catalog is not None:
@@ -51,16 +51,12 @@
                 self.move_sessions(time)
 
     async def _primary_lost(self) -> bool:
-        """Tell whether some primary does not answer."""
+        """Tell whether some service is out of reach."""
         host = self.host
-        names = list(host.max_connections)
         answers = await asyncio.gather(
-            *(
-                host.executor.proofs.barrier(host.service(name))
-                for name in names
-            )
+            *(host.executor.reaches(name) for name in host.max_connections)
         )
-        return any(is_failure(answer) for answer in answers)
+        return not all(answers)
 
     def _note(self, cut_off: bool) -> None:
         if cut_off == (self.cut_off_since is not None):
--- a/chivescale/relay/_transaction.py
+++ b/chivescale/relay/_transaction.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from chivescale.catalog import Route
+from chivescale.gateway import Peer
 from chivescale.link import Link
 from chivescale.relay._endpoint import Endpoint, Service
 
@@ -27,6 +28,10 @@
         Whether it runs as a transaction that only a primary accepts.
     wrote : bool
         Whether a write was sent.
+    peer : Peer or None
+        Gateway that runs it, if another host does.
+    number : int
+        Identifies it on the connection to the gateway.
     failed : bool
         Whether it is rolled back; the caller still has to end it.
     timer : asyncio.TimerHandle or None
@@ -41,6 +46,8 @@
     link: Link | None = None
     leads: bool = False
     wrote: bool = False
+    peer: Peer | None = None
+    number: int = 0
     failed: bool = False
     timer: asyncio.TimerHandle | None = None
 
--- a/chivescale/relay/_work.py
+++ b/chivescale/relay/_work.py
@@ -37,6 +37,8 @@
         Endpoints that it was offered to.
     endpoint : str
         Endpoint that it was sent to last; empty if it never left.
+    gateway : str
+        Host that it was forwarded to last; empty if none.
     need : Position or None
         Position that its log had to hold.
     proof_age_s : float
@@ -51,6 +53,7 @@
     definition: Definition | None = None
     attempts: int = 0
     endpoint: str = ""
+    gateway: str = ""
     need: Position | None = None
     proof_age_s: float = -1.0
 
--- a/chivescale/relay/tests/steps/load_steps.py
+++ b/chivescale/relay/tests/steps/load_steps.py
@@ -325,10 +325,8 @@
     "a host whose coordinators are {coordinators} and primaries {primaries}"
 )
 def host_given(context, coordinators, primaries):
-    lost = Failure(ErrorKind.FRESHNESS_UNPROVED, "no answer")
-
-    async def barrier(service):
-        return lost if (service, primaries) == ("s2", "partly out") else None
+    async def reaches(service):
+        return (service, primaries) != ("s2", "partly out")
 
     host = types.SimpleNamespace(
         by_id={},
@@ -336,9 +334,8 @@
         follower=types.SimpleNamespace(connected=coordinators == "in touch"),
         catalog=object(),
         max_connections={"s1": 1, "s2": 1},
-        service=lambda name: name,
         executor=types.SimpleNamespace(
-            proofs=types.SimpleNamespace(barrier=barrier)
+            reaches=reaches, check_silence=lambda time: None
         ),
     )
     context.reachability = Reachability(host)
