Pause replicas before a successor is chosen where they acknowledge commits

Change: replicas stop receiving before their positions count; at a hand-over all but the successor do. A new watch of a primary ends pauses that a former leader has left.

--- a/chivescale/coordinator/_promoter.py
+++ b/chivescale/coordinator/_promoter.py
@@ -214,6 +214,8 @@
         Beginning a transaction takes no slot, so a busy endpoint answers
         too.
         """
+        if self._sync_replicas(watched.service):
+            await self._resume(watched)
         while True:
             sent_at = now()
             outcome = await self._lead_check(watched.endpoint)
@@ -283,7 +285,7 @@
             != (watched.endpoint, watched.born_ms)
         ):
             return True
-        target = await self._choose(watched)
+        target = await self._choose(watched, dead)
         if is_failure(target):
             log_event(
                 "no_successor",
@@ -313,14 +315,21 @@
             await self._demote(watched)
         return await self._await_lead(target)
 
-    async def _choose(self, watched: Watched):
-        views = [
-            view
-            for view in self.host.registry.of_service(watched.service)
-            if view.beat.endpoint != watched.endpoint
-        ]
+    async def _choose(self, watched: Watched, dead: bool) -> str | Failure:
+        """Return the successor.
+
+        Where commits are acknowledged by replicas, a primary that this host
+        has lost may still commit. So the replicas stop receiving before
+        their positions count; at a hand-over all but the successor do.
+        """
+        views = self._replicas(watched)
+        sync_replicas = self._sync_replicas(watched.service)
+        ask = self.dialect.state_text()
+        if sync_replicas and dead:
+            term = await self._newest_term(views)
+            ask = self.dialect.pause_text(term + 1)
         states = await asyncio.gather(
-            *(self._state(view.beat.endpoint) for view in views)
+            *(self._state(view.beat.endpoint, ask) for view in views)
         )
         candidates = [
             Candidate(
@@ -330,9 +339,41 @@
             )
             for view, state in zip(views, states, strict=True)
         ]
-        return choose_successor(
-            candidates, self._sync_replicas(watched.service)
+        target = choose_successor(candidates, sync_replicas)
+        if sync_replicas and not dead and not is_failure(target):
+            term = max(s.term for s in states if s is not None)
+            pause = self.dialect.pause_text(term + 1)
+            others = [v for v in views if v.beat.endpoint != target]
+            await asyncio.gather(
+                *(self._state(view.beat.endpoint, pause) for view in others)
+            )
+        return target
+
+    def _replicas(self, watched: Watched) -> list[EndpointView]:
+        return [
+            view
+            for view in self.host.registry.of_service(watched.service)
+            if view.beat.endpoint != watched.endpoint
+        ]
+
+    async def _newest_term(self, views: list[EndpointView]) -> int:
+        """Return the newest term that a replica knows."""
+        text = self.dialect.state_text()
+        states = await asyncio.gather(
+            *(self._state(view.beat.endpoint, text) for view in views)
         )
+        return max((s.term for s in states if s is not None), default=0)
+
+    async def _resume(self, watched: Watched) -> None:
+        """End pauses that a former leader has left behind."""
+        text = self.dialect.resume_text()
+        await asyncio.gather(
+            *(
+                self._state(view.beat.endpoint, text)
+                for view in self._replicas(watched)
+            )
+        )
+        log_event("replicas_resumed", service=watched.service)
 
     def _sync_replicas(self, service: str) -> int:
         catalog = self.host.state.catalog.catalog
@@ -341,13 +382,12 @@
                 return options.sync_replicas
         return 0
 
-    async def _state(self, endpoint: str) -> EndpointState | None:
+    async def _state(self, endpoint: str, text: str) -> EndpointState | None:
+        """Send a statement that is answered with the endpoint's state."""
         link = await self._link(endpoint)
         if is_failure(link):
             return None
-        reply = await link.statement(
-            self.dialect.state_text(), STATE_TIMEOUT_S
-        )
+        reply = await link.statement(text, STATE_TIMEOUT_S)
         state = (
             reply if is_failure(reply) else self.dialect.decode_state(reply)
         )
@@ -358,7 +398,7 @@
 
     async def _demote(self, watched: Watched) -> None:
         """Stop a leaving primary, so that its last commits reach replicas."""
-        state = await self._state(watched.endpoint)
+        state = await self._state(watched.endpoint, self.dialect.state_text())
         link = self.links.get(watched.endpoint)
         if state is None or link is None:
             return
