Attempt connections to full endpoints rarely; wait in transactions; soak

After a loss of power an endpoint counts dead connections for 3 s, so that nothing was left for new ones.

Change: a refused connection pauses attempts for 0.8 s, doubled once, with jitter; a host holds at most four even shares; half of an endpoint's connections stay open without use. A statement of a transaction waits for a slot within the whole latency goal. Failures are mapped in _outcomes.

--- a/chivescale/relay/_executor.py
+++ b/chivescale/relay/_executor.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import itertools
 import random
 
 from chivescale.catalog import Consistency
@@ -16,6 +17,14 @@
     Running,
     Service,
 )
+from chivescale.relay._outcomes import (
+    NOT_RUN,
+    aborted,
+    may_repeat_read,
+    no_endpoint,
+    not_started,
+    write_failure,
+)
 from chivescale.relay._prepare import Need, forwarded_text, prepare_link
 from chivescale.relay._proofs import Proofs, no_primary, note_silence
 from chivescale.relay._returns import Returns
@@ -39,24 +48,13 @@
 # An endpoint whose slots and queue are full has room again after about the
 # run time of one statement, 5 to 30 ms.
 BUSY_PAUSE_S = 0.02
+# The pause doubles this often, so that waiting statements do not flood an
+# endpoint that stays full.
+BUSY_DOUBLINGS = 3
 # A full queue of 16 to 24 statements before 2 or 3 slots takes this long, so
 # other endpoints are cheaper meanwhile.
 FULL_QUEUE_S = 0.15
 
-# Refusals that leave the statement free to run elsewhere.
-NOT_RUN = frozenset(
-    {
-        ErrorKind.OVERLOADED,
-        ErrorKind.ENDPOINT_BEHIND,
-        ErrorKind.ENDPOINT_READ_ONLY,
-        ErrorKind.ENDPOINT_FULL,
-        ErrorKind.WRONG_ENDPOINT,
-        ErrorKind.UNREACHABLE,
-        ErrorKind.CONNECTION_REFUSED,
-        ErrorKind.UNKNOWN_STATEMENT,
-    }
-)
-
 
 class Executor:
     """Runs statements; the sessions of a host share it.
@@ -115,7 +113,7 @@
         log that another primary has already continued.
         """
         failure = None
-        others = 0
+        others = waits = 0
         while others < MAX_ATTEMPTS and not work.expired():
             endpoints = service.primaries(now())
             if not endpoints:
@@ -139,8 +137,9 @@
             if outcome.kind is ErrorKind.ENDPOINT_READ_ONLY:
                 service.note_refusal(endpoint)
             elif outcome.kind is ErrorKind.OVERLOADED:
-                if not await wait_for_slot(work):
+                if not await wait_for_slot(work, waits):
                     return outcome
+                waits += 1
             elif outcome.kind is not ErrorKind.READ_INTERRUPTED:
                 # A lost answer is asked for again over another link.
                 return outcome
@@ -155,7 +154,7 @@
         self.retries.record_request()
         outcome = await self._read_anywhere(service, work, need)
         failure = outcome if is_failure(outcome) else None
-        if failure is None or not _may_repeat_read(failure):
+        if failure is None or not may_repeat_read(failure):
             return outcome
         if failure is not None and failure.kind in (
             ErrorKind.ENDPOINT_BEHIND,
@@ -187,7 +186,8 @@
         """
         excluded: set[str] = set()
         running: set[asyncio.Task] = set()
-        failure = _no_endpoint(service)
+        rounds = 0
+        failure = no_endpoint(service.name)
         while True:
             time = now()
             more = len(excluded) < MAX_ATTEMPTS and not work.expired()
@@ -206,7 +206,8 @@
                 wait_s = None
             if not running:
                 full = excluded and failure.kind is ErrorKind.OVERLOADED
-                if full and await wait_for_slot(work):
+                if full and await wait_for_slot(work, rounds):
+                    rounds += 1
                     excluded.clear()
                     continue
                 return work.expired() or failure
@@ -217,7 +218,7 @@
             )
             for task in done:
                 outcome = task.result()
-                if not is_failure(outcome) or not _may_repeat_read(outcome):
+                if not is_failure(outcome) or not may_repeat_read(outcome):
                     self._keep_running(running)
                     return outcome
                 failure = outcome
@@ -306,7 +307,7 @@
         if failure is not None and not leads:
             if failure.kind is ErrorKind.ENDPOINT_BEHIND:
                 return await self._start_on_primary(transaction, work, service)
-        return failure or _no_endpoint(service)
+        return failure or no_endpoint(service.name)
 
     async def _start_on_primary(
         self, transaction: Transaction, work: Work, service: Service
@@ -388,7 +389,7 @@
             service.note_refusal(endpoint)
         elif failure.kind is ErrorKind.ENDPOINT_BEHIND:
             endpoint.behind_until = now() + BEHIND_S
-        return _not_started(failure)
+        return not_started(failure)
 
     async def _run(
         self,
@@ -403,7 +404,7 @@
         failure = await prepare_link(link, need, PREPARE_TIMEOUT_S)
         if is_failure(failure):
             note_silence(endpoint, failure)
-            return _not_started(failure)
+            return not_started(failure)
         link.last_session = session
         text = forwarded_text(link, work.statement, work.definition)
         if after is not None:
@@ -432,7 +433,7 @@
 
         A read outside a transaction is offered to another endpoint instead.
         """
-        while True:
+        for attempt in itertools.count():
             started = now()
             reply = await link.statement(
                 text, work.left_s(started), work.statement.request_id
@@ -448,55 +449,24 @@
             endpoint.note_answer(reply.position, took_s, time)
             kept = reply.state is not TransactionState.FAILED
             waits = work.writes or work.session.transaction is not None
-            if not (full and kept and waits and await wait_for_slot(work)):
+            again = full and kept and waits
+            if not (again and await wait_for_slot(work, attempt)):
                 return reply
 
 
-async def wait_for_slot(work: Work) -> bool:
-    """Wait before another attempt; False if it would come too late."""
-    pause_s = BUSY_PAUSE_S * random.uniform(0.5, 1.5)
-    if pause_s >= work.link_wait_s(now()):
+async def wait_for_slot(work: Work, attempt: int) -> bool:
+    """Wait before another attempt; False if it would come too late.
+
+    A statement of a transaction has the whole latency goal, since giving up
+    wastes what the endpoint has done for the transaction so far. Beyond it,
+    the caller is better served by a refusal that lets it begin again.
+    """
+    scale = BUSY_PAUSE_S * 2 ** min(attempt, BUSY_DOUBLINGS)
+    pause_s = scale * random.uniform(0.5, 1.5)
+    time = now()
+    begun = work.session.transaction is not None and work.endpoint
+    left_s = work.goal_left_s(time) if begun else work.link_wait_s(time)
+    if pause_s >= left_s:
         return False
     await asyncio.sleep(pause_s)
     return True
-
-
-def _not_started(failure: Failure) -> Failure:
-    """Mark a lost link on which no statement of the caller had left."""
-    if failure.kind in (ErrorKind.READ_INTERRUPTED, ErrorKind.TIMEOUT):
-        return Failure(ErrorKind.UNREACHABLE, failure.reason)
-    return failure
-
-
-def _may_repeat_read(failure: Failure) -> bool:
-    return (
-        failure.kind in NOT_RUN or failure.kind is ErrorKind.READ_INTERRUPTED
-    )
-
-
-def write_failure(failure: Failure) -> Failure:
-    """Return what a caller is told of a write that may have run."""
-    unknown = (ErrorKind.READ_INTERRUPTED, ErrorKind.TIMEOUT)
-    if failure.kind in unknown:
-        reason = f"answer to the write was lost: {failure.reason}"
-        return Failure(ErrorKind.OUTCOME_UNKNOWN, reason)
-    return failure
-
-
-def aborted(failure: Failure) -> Failure:
-    """Return what a caller is told of a transaction that was rolled back."""
-    lost = (
-        ErrorKind.READ_INTERRUPTED,
-        ErrorKind.TIMEOUT,
-        ErrorKind.UNREACHABLE,
-        ErrorKind.CONNECTION_REFUSED,
-    )
-    if failure.kind in lost:
-        return Failure(ErrorKind.TRANSACTION_ABORTED, failure.reason)
-    return failure
-
-
-def _no_endpoint(service: Service) -> Failure:
-    """Return the refusal while no endpoint can serve a read."""
-    reason = f"no endpoint of {service.name} can be used"
-    return Failure(ErrorKind.OVERLOADED, reason)
--- a/chivescale/relay/_forwarder.py
+++ b/chivescale/relay/_forwarder.py
@@ -9,7 +9,8 @@
 from chivescale.errors import ErrorKind, Failure, is_failure
 from chivescale.gateway import Answer, Peer, Run
 from chivescale.messages import EntryHostRecord
-from chivescale.relay._executor import Executor, aborted, write_failure
+from chivescale.relay._executor import Executor
+from chivescale.relay._outcomes import aborted, write_failure
 from chivescale.relay._transaction import Transaction
 from chivescale.relay._work import MIN_ATTEMPT_S, Outcome, Work
 from chivescale.retry import RetryBudget
@@ -31,7 +32,13 @@
 OTHER_ZONE_WAITING = 6
 
 # Answers of a gateway after which another one may be asked.
-ASK_ANOTHER = frozenset({ErrorKind.SHUTTING_DOWN, ErrorKind.UNREACHABLE})
+ASK_ANOTHER = frozenset(
+    {
+        ErrorKind.ENDPOINT_FULL,
+        ErrorKind.SHUTTING_DOWN,
+        ErrorKind.UNREACHABLE,
+    }
+)
 
 
 class Forwarder:
--- a/chivescale/relay/_host.py
+++ b/chivescale/relay/_host.py
@@ -28,6 +28,13 @@
 # Part of an endpoint's connections that one host may hold while others need
 # none.
 LARGEST_SHARE = 0.25
+# It may also not hold more than this many times an even share. With many
+# hosts, the sum of what they could open would exceed the limit many times.
+GREATEST_MULTIPLE = 4
+# Part of an endpoint's connections that hosts keep open without use. After a
+# loss of power the endpoint counts the dead ones for seconds; the rest is room
+# for new ones meanwhile.
+STANDING_SHARE = 0.5
 # One in this many plain successes is logged.
 SUCCESS_LOG_PERIOD = 200
 # While it stops, a host keeps accepting for this long, because the balancer
@@ -311,11 +318,6 @@
         self.entry_hosts = hosts
         self._plan_gateways()
 
-    def _room(self, service: str) -> int:
-        """Return the connections to an endpoint that entry hosts share."""
-        total = self.max_connections.get(service, 0)
-        return max(1, total - RESERVED_CONNECTIONS)
-
     def _plan_gateways(self) -> None:
         services = tuple(self.max_connections)
         names = {host.name for host in self.entry_hosts if host.address}
@@ -325,7 +327,7 @@
                 service,
                 services,
                 names,
-                self._room(service),
+                _room(self.max_connections[service]),
                 self.settings.direct_links,
                 self.settings.gateway_links,
             )
@@ -337,11 +339,10 @@
 
     def _share_connections(self, endpoint: Endpoint) -> None:
         service = endpoint.beat.service
-        room = self._room(service)
         hosts = len(self.executor.gateways.get(service, ())) or 1
-        share = max(1, room // hosts)
-        endpoint.pool.share = share
-        endpoint.pool.limit = max(share, int(room * LARGEST_SHARE))
+        accepted = self.max_connections.get(service, 0)
+        pool = endpoint.pool
+        pool.share, pool.limit = shares(accepted, hosts)
 
     # Sessions.
 
@@ -385,6 +386,33 @@
         )
 
 
+def _room(accepted: int) -> int:
+    """Return the connections to an endpoint that entry hosts share."""
+    return max(1, accepted - RESERVED_CONNECTIONS)
+
+
+def shares(accepted: int, hosts: int) -> tuple[int, int]:
+    """Divide the connections of an endpoint among hosts.
+
+    Parameters
+    ----------
+    accepted : int
+        Connections that the endpoint accepts.
+    hosts : int
+        Hosts that are connected to it.
+
+    Returns
+    -------
+    tuple of int
+        Connections that one host keeps open, and that it may hold.
+    """
+    room = _room(accepted)
+    standing = max(1, int(room * STANDING_SHARE) // hosts)
+    even = max(1, room // hosts)
+    largest = max(even, int(room * LARGEST_SHARE))
+    return standing, max(standing, min(largest, GREATEST_MULTIPLE * even))
+
+
 def _evidence(work) -> dict[str, object]:
     """Return what decided on a statement, for its log line."""
     if is_failure(work):
--- a/chivescale/relay/_pool.py
+++ b/chivescale/relay/_pool.py
@@ -4,6 +4,7 @@
 import collections.abc
 import heapq
 import itertools
+import random
 
 from chivescale.clock import now
 from chivescale.errors import ErrorKind, Failure, is_failure
@@ -13,7 +14,10 @@
 # endpoint, so it waits behind running statements.
 OPEN_TIMEOUT_S = 1.0
 # After a refusal for too many connections, no link is opened for this long.
-FULL_PAUSE_S = 0.5
+# The pause doubles with each refusal in a row: an attempt takes time of a
+# slot, and many hosts would make attempts at the same time.
+FULL_PAUSE_S = 0.8
+LONGEST_FULL_PAUSE_S = 1.6
 # After a failed attempt to connect, no other one is made for this long.
 FAILED_PAUSE_S = 0.25
 # Links above the own share are given back after this time without use. After
@@ -52,6 +56,7 @@
         self.waiters: list[tuple[int, int, asyncio.Future]] = []
         self.numbers = itertools.count()
         self.full_until = 0.0
+        self.full_pause_s = FULL_PAUSE_S
         self.failed_until = 0.0
         self.last_failure: Failure | None = None
         self.tasks: set[asyncio.Task] = set()
@@ -142,9 +147,8 @@
         time = now()
         if time < self.failed_until:
             return
-        allowed = self.share if time < self.full_until else self.limit
         wanted = len(self.waiters) + 1 - self.opening
-        if self.held < allowed and wanted > 0:
+        if time >= self.full_until and self.held < self.limit and wanted > 0:
             self.opening += 1
             task = asyncio.ensure_future(self._open())
             self.tasks.add(task)
@@ -156,12 +160,17 @@
         finally:
             self.opening -= 1
         if not is_failure(opened):
+            self.full_pause_s = FULL_PAUSE_S
             self.lent += 1
             self.release(opened)
             return
         self.last_failure = opened
         if opened.kind is ErrorKind.ENDPOINT_FULL:
-            self.full_until = now() + FULL_PAUSE_S
+            pause_s = self.full_pause_s * random.uniform(0.5, 1.0)
+            self.full_until = now() + pause_s
+            self.full_pause_s = min(
+                2 * self.full_pause_s, LONGEST_FULL_PAUSE_S
+            )
             if self.lent or self.opening:
                 return
         else:
--- a/chivescale/relay/_work.py
+++ b/chivescale/relay/_work.py
@@ -75,6 +75,11 @@
         left = self.arrived_at + wait - time
         return max(MIN_ATTEMPT_S, min(left, self.left_s(time)))
 
+    def goal_left_s(self, time: float) -> float:
+        """Return the time left for an answer within the latency goal."""
+        goal = self.arrived_at + self.route.latency_goal_ms / 1000
+        return min(goal - time, self.left_s(time))
+
     def expired(self) -> Failure | None:
         """Return a refusal if there is no time for another attempt."""
         if self.left_s(now()) > MIN_ATTEMPT_S:
--- a/chivescale/relay/tests/load.feature
+++ b/chivescale/relay/tests/load.feature
@@ -41,6 +41,24 @@
     Then 2 get one and 2 wait without being refused
     And no further connection is tried for 400 ms
 
+  Scenario: Many hosts before a full endpoint: attempts become rare
+    Given a pool that may open 4 links of which the endpoint accepts 2
+    When 4 statements ask for a link at once
+    And a statement asks each 20 ms for 5 s
+    Then at most 8 further connections were tried
+
+  Scenario Outline: Connections that one host may hold
+    Given <hosts> hosts connected to an endpoint that accepts <accepted>
+    Then each keeps <standing> and may hold <most>
+
+    Examples: some are left for connections that the endpoint believes alive
+      | hosts | accepted | standing | most |
+      | 17    | 34       | 1        | 4    |
+      | 13    | 82       | 3        | 19   |
+      | 26    | 67       | 1        | 8    |
+      | 114   | 304      | 1        | 8    |
+      | 1     | 34       | 15       | 30   |
+
   Scenario: An endpoint that cannot be reached refuses at once
     Given a pool whose endpoint cannot be reached
     When a statement asks for a link twice
--- a/chivescale/relay/tests/steps/load_steps.py
+++ b/chivescale/relay/tests/steps/load_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import types
+from unittest import mock
 
 from behave import given, then, when
 
@@ -11,9 +12,11 @@
 from chivescale.errors import ErrorKind, Failure, is_failure
 from chivescale.messages import Position
 from chivescale.registry import EndpointBeat
+from chivescale.relay import _pool
 from chivescale.relay._endpoint import Endpoint, Running, Service
 from chivescale.relay._executor import Executor
 from chivescale.relay._freshness import PrimarySample
+from chivescale.relay._host import shares
 from chivescale.relay._pool import LinkPool
 from chivescale.relay._reachability import Reachability
 
@@ -236,6 +239,40 @@
     assert context.attempts == before, context.attempts
 
 
+@when("a statement asks each {ms:d} ms for {seconds:d} s")
+def asks_for_long(context, ms, seconds):
+    context.before = context.attempts
+    offset = 0.0
+
+    async def work():
+        nonlocal offset
+        for _ in range(seconds * 1000 // ms):
+            offset += ms / 1000
+            answer = await context.pool.acquire(1, 0.0, {}, None)
+            assert is_failure(answer)
+            await asyncio.sleep(0)
+
+    real = clock.now
+    with mock.patch.object(_pool, "now", lambda: real() + offset):
+        asyncio.run(work())
+
+
+@then("at most {count:d} further connections were tried")
+def tried(context, count):
+    further = context.attempts - context.before
+    assert 1 <= further <= count, further
+
+
+@given("{hosts:d} hosts connected to an endpoint that accepts {accepted:d}")
+def connected_hosts(context, hosts, accepted):
+    context.shares = shares(accepted, hosts)
+
+
+@then("each keeps {standing:d} and may hold {most:d}")
+def keeps(context, standing, most):
+    assert context.shares == (standing, most), context.shares
+
+
 @given("a pool whose endpoint cannot be reached")
 def unreachable(context):
     context.attempts = 0
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -22,6 +22,9 @@
     "chivescale.limits.tests.random_limits": 200,
     "chivescale.entry.tests.random_system": 30,
 }
+# Program that runs the real roles as processes, and the seconds of one run.
+PROCESS_SOAK = "platform/tests/soak.py"
+PROCESS_SECONDS = 15
 MAX_SEED = 1 << 30
 # A history of the whole system takes about 15 s; one that hangs has failed.
 RUN_TIMEOUT_S = 300.0
@@ -48,6 +51,16 @@
     ]
 
 
+def process_command(seed: int) -> list[str]:
+    """Return the command line of one run with real processes."""
+    return [
+        sys.executable,
+        str(ROOT / PROCESS_SOAK),
+        *("--seed", str(seed)),
+        *("--seconds", str(PROCESS_SECONDS)),
+    ]
+
+
 def run_one(module: str, seed: int, steps: int) -> int:
     """Run one history in this process."""
     importlib.import_module(module).run_random(seed, steps)
@@ -73,6 +86,12 @@
                 print(f"PYTHONHASHSEED=0 {' '.join(line)}", flush=True)
                 return 1
             runs += 1
+        line = process_command(rng.randrange(MAX_SEED))
+        if not _passes(line, environment):
+            print(f"soak: failed after {runs} runs; repeat with")
+            print(" ".join(line), flush=True)
+            return 1
+        runs += 1
     print(f"soak: ok, {runs} runs")
     return 0
 
