Refuse new work before a standing queue; ask all endpoints without a usable claim

Change: the fastest statement of the last second shows a standing queue, whatever the run times; above 50 ms the surplus of new work is refused at once, statements of open transactions go on. If no endpoint that claims to lead can be used, the others are asked.

--- a/chivescale/relay/_endpoint.py
+++ b/chivescale/relay/_endpoint.py
@@ -1,6 +1,7 @@
 """What an entry host knows of the endpoints of a service."""
 
 import asyncio
+import collections
 import random
 
 import msgspec
@@ -36,6 +37,14 @@
 # while later ones were answered, has lost its answer.
 LOST_ANSWER_S = 0.3
 LOST_ANSWER_FACTOR = 6.0
+# Statements wait in one queue at an endpoint, so the fastest one of the last
+# second shows how long the queue was all the time, however much their run
+# times differ. A standing queue above the target makes transactions of many
+# statements miss their limits, and what ran for them is lost.
+QUEUE_WINDOW_S = 1.0
+QUEUE_TARGET_S = 0.05
+QUEUE_SAMPLES = 3
+MAX_SAMPLES = 64
 # A check is a new connection, which a machine that runs accepts at once,
 # however busy its slots are.
 TRIAL_TIMEOUT_S = 0.25
@@ -95,6 +104,9 @@
         self.wrong = False
         self.running: dict[Running, None] = {}
         self.answered_at = 0.0
+        self.latencies: collections.deque[tuple[float, float]] = (
+            collections.deque(maxlen=MAX_SAMPLES)
+        )
         self.suspected = False
         self.trial: asyncio.Task | None = None
         self.check_again_at = 0.0
@@ -208,6 +220,24 @@
         average = self.expected_latency_s(time)
         self.latency_s = average + LATENCY_WEIGHT * (latency_s - average)
         self.measured_at = self.answered_at = time
+        self.latencies.append((time, latency_s))
+
+    def standing_queue_s(self, time: float) -> float:
+        """Return how long statements have waited at least, lately."""
+        recent = self.latencies
+        while recent and time - recent[0][0] > QUEUE_WINDOW_S:
+            recent.popleft()
+        if len(recent) < QUEUE_SAMPLES:
+            return 0.0
+        return min(latency for _, latency in recent)
+
+    def admits(self, time: float, draw: float) -> bool:
+        """Tell whether new work is sent, for a random `draw` below 1.
+
+        Of what would only lengthen a standing queue, the surplus is
+        refused at once, so that the rest is served in time.
+        """
+        return draw * self.standing_queue_s(time) < QUEUE_TARGET_S
 
     def expected_latency_s(self, time: float) -> float:
         """Return the latency, the less weighted the older it is."""
@@ -275,8 +305,9 @@
         """Return the endpoints that may lead, the likeliest first.
 
         The one that proved it last comes first unless another one claims
-        it since. An endpoint without a claim is tried only when there is
-        no claim.
+        it since. An endpoint without a claim is tried when none with a
+        claim can be used: a host that has lost the coordinators finds the
+        next primary this way, and any other endpoint refuses at once.
         """
         usable = [e for e in self.endpoints.values() if e.usable(time)]
         claims = [
@@ -286,13 +317,13 @@
         ]
         if claims:
             return [e for _, _, e in sorted(claims, reverse=True)]
-        if any(
-            e.primary_since > e.refused_at for e in self.endpoints.values()
-        ):
-            return []
         others = [e for e in usable if time - e.refused_at > REFUSED_S]
         return sorted(others, key=lambda e: e.refused_at)
 
+    def admits(self, endpoint: Endpoint) -> bool:
+        """Tell whether an endpoint gets more new work."""
+        return endpoint.admits(now(), self.rng.random())
+
     def _proof(self, endpoint: Endpoint) -> float:
         if self.primary == endpoint.beat.endpoint:
             return self.proved_at
--- a/chivescale/relay/_executor.py
+++ b/chivescale/relay/_executor.py
@@ -23,6 +23,7 @@
     may_repeat_read,
     no_endpoint,
     not_started,
+    queue_refusal,
     write_failure,
 )
 from chivescale.relay._prepare import Need, forwarded_text, prepare_link
@@ -86,6 +87,8 @@
     async def _write(self, service: Service, work: Work) -> Outcome:
         failure = None
         for endpoint in service.primaries(now())[:MAX_ATTEMPTS]:
+            if not service.admits(endpoint):
+                return queue_refusal(endpoint.beat.endpoint)
             link = await self._acquire(endpoint, work)
             if is_failure(link):
                 failure = link
@@ -119,6 +122,8 @@
             if not endpoints:
                 break
             endpoint = endpoints[0]
+            if not work.attempts and not service.admits(endpoint):
+                return queue_refusal(endpoint.beat.endpoint)
             work.attempts += 1
             link = await self._begin(service, endpoint, work, True, None)
             if is_failure(link):
@@ -195,6 +200,9 @@
             if endpoints and (not running or self.retries.try_retry()):
                 endpoint = endpoints[0]
                 excluded.add(endpoint.beat.endpoint)
+                if not service.admits(endpoint):
+                    failure = queue_refusal(endpoint.beat.endpoint)
+                    continue
                 work.attempts += 1
                 attempt = self._read_once(endpoint, work, need)
                 task = asyncio.ensure_future(attempt)
@@ -205,7 +213,7 @@
             else:
                 wait_s = None
             if not running:
-                full = excluded and failure.kind is ErrorKind.OVERLOADED
+                full = work.attempts and failure.kind is ErrorKind.OVERLOADED
                 if full and await wait_for_slot(work, rounds):
                     rounds += 1
                     excluded.clear()
@@ -296,6 +304,9 @@
                 break
             endpoint = endpoints[0]
             excluded.add(endpoint.beat.endpoint)
+            if not service.admits(endpoint):
+                failure = queue_refusal(endpoint.beat.endpoint)
+                continue
             work.attempts += 1
             link = await self._begin(
                 service, endpoint, work, leads, None if leads else need
--- a/chivescale/relay/_outcomes.py
+++ b/chivescale/relay/_outcomes.py
@@ -56,3 +56,9 @@
     """Return the refusal while no endpoint can serve a read."""
     reason = f"no endpoint of {service} can be used"
     return Failure(ErrorKind.OVERLOADED, reason)
+
+
+def queue_refusal(endpoint: str) -> Failure:
+    """Return the refusal of new work for an endpoint with a long queue."""
+    reason = f"statements wait for too long at {endpoint}"
+    return Failure(ErrorKind.OVERLOADED, reason)
--- a/chivescale/relay/tests/load.feature
+++ b/chivescale/relay/tests/load.feature
@@ -136,3 +136,23 @@
       | a claims, a refused, b claims later       | b       |
       | a claims, b proved                        | b, a    |
       | a claims, a refused long ago              | a, b    |
+      | a claims, a suspected                     | nothing |
+      | a claims, a suspected, b refused long ago | b       |
+
+  Scenario Outline: Burst: a standing queue refuses the surplus of new work
+    Given an endpoint whose statements of the last second took <latencies> ms
+    Then it admits <share> of new work
+
+    Examples: the fastest one shows the queue; a slow endpoint has none
+      | latencies            | share        |
+      | 20 30 25 40          | all          |
+      | 100 140 160 120      | a half       |
+      | 150 150 150 150      | a third      |
+      | 400 20 90 200        | all          |
+      | 150 150              | all          |
+      |                      | all          |
+
+  Scenario: A queue that ended is forgotten
+    Given an endpoint whose statements of the last second took 150 150 150 ms
+    When 2 s pass without an answer
+    Then it admits all of new work
--- a/chivescale/relay/tests/steps/load_steps.py
+++ b/chivescale/relay/tests/steps/load_steps.py
@@ -76,6 +76,8 @@
                 made[name].refused_at = at
                 made[name].refused_at = time - 0.2
                 made["a"].primary_since = time - 1.0
+            case "suspected":
+                made[name].suspected = True
             case "refused long ago":
                 made[name].refused_at = time - 0.8
                 made["b"].refused_at = time - 0.7
@@ -141,6 +143,24 @@
     assert max(values) - min(values) < ms / 1000, values
 
 
+@given("an endpoint whose statements of the last second took {latencies} ms")
+@given("an endpoint whose statements of the last second took  ms")
+def latencies_given(context, latencies=""):
+    context.endpoint = endpoint("a")
+    context.time = clock.now()
+    for latency in latencies.split():
+        context.endpoint.note_answer(None, int(latency) / 1000, context.time)
+
+
+@then("it admits {share} of new work")
+def admits(context, share):
+    draws = [n / 100 for n in range(100)]
+    admitted = sum(context.endpoint.admits(context.time, d) for d in draws)
+    expected = {"all": (100, 100), "a half": (45, 55), "a third": (30, 37)}
+    least, most = expected[share]
+    assert least <= admitted <= most, admitted
+
+
 # Pools.
 
 
