--- a/chivescale/gateway/_peer.py
+++ b/chivescale/gateway/_peer.py
@@ -1,6 +1,7 @@
 """A gateway as another entry host sees it."""
 
 import asyncio
+import random
 
 import msgspec
 
@@ -24,8 +25,12 @@
 MAX_FRAME_BYTES = 4 << 20
 # Gateways are in the same region; a host that runs accepts at once.
 CONNECT_TIMEOUT_S = 0.25
-# A gateway that could not be reached is tried again after this.
-RETRY_PAUSE_S = 0.5
+# A gateway that could not be reached gets no statements until a connection to
+# it was opened; a lost connection is opened again almost at once, later
+# attempts become rarer.
+FIRST_TRIAL_PAUSE_S = 0.05
+TRIAL_PAUSE_FACTOR = 4.0
+LONGEST_TRIAL_PAUSE_S = 2.0
 # An answer that takes longer is followed by a question whether the
 # connection still works, which the gateway answers at once.
 SILENT_S = 0.25
@@ -63,8 +68,8 @@
     ----------
     leaving : bool
         Whether the gateway has said that it stops.
-    failed_until : float
-        Until when no statement is offered to it.
+    failed : bool
+        Whether it could not be reached; a trial is under way then.
     """
 
     def __init__(self, own_name: str, name: str, zone: str, address: str):
@@ -77,15 +82,17 @@
         self.calls: dict[int, Call] = {}
         self.numbers = 0
         self.leaving = False
-        self.failed_until = 0.0
+        self.failed = False
+        self.trial: asyncio.Task | None = None
         self.heard_at = 0.0
         self.pinged_at: float | None = None
         self.waiting = 0
         self.waiting_at = 0.0
 
-    def usable(self, time: float) -> bool:
-        """Tell whether new statements may be sent."""
-        return not self.leaving and time >= self.failed_until
+    @property
+    def usable(self) -> bool:
+        """Whether new statements may be sent."""
+        return not self.leaving and not self.failed
 
     def load(self, time: float) -> int:
         """Return how much seems to wait at the gateway."""
@@ -109,6 +116,9 @@
         failure = await self.connect()
         if failure is not None:
             return failure
+        if self.channel is None:
+            reason = f"gateway {self.name}: connection lost at once"
+            return Failure(ErrorKind.UNREACHABLE, reason)
         time = now()
         future = asyncio.get_running_loop().create_future()
         self.calls[message.number] = Call(future, time)
@@ -134,10 +144,13 @@
         if self.opening is None:
             self.opening = asyncio.ensure_future(self._open())
         try:
-            return await asyncio.shield(self.opening)
+            failure = await asyncio.shield(self.opening)
         finally:
             if self.opening is not None and self.opening.done():
                 self.opening = None
+        if failure is not None:
+            self._note_failure(failure.reason)
+        return failure
 
     async def _open(self) -> Failure | None:
         channel = LineChannel(self._on_line, self._on_lost, MAX_FRAME_BYTES)
@@ -147,8 +160,7 @@
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 await loop.create_connection(lambda: channel, host, int(port))
         except (OSError, TimeoutError) as err:
-            self._note_failure(f"cannot connect: {err!r}")
-            reason = f"gateway {self.name}: {err!r}"
+            reason = f"gateway {self.name}: cannot connect: {err!r}"
             return Failure(ErrorKind.UNREACHABLE, reason)
         self.channel = channel
         self.pinged_at = None
@@ -157,12 +169,21 @@
         return None
 
     def _note_failure(self, reason: str) -> None:
-        time = now()
-        if time >= self.failed_until:
-            log_event(
-                "gateway_lost", "warning", gateway=self.name, reason=reason
-            )
-        self.failed_until = time + RETRY_PAUSE_S
+        if self.failed:
+            return
+        self.failed = True
+        log_event("gateway_lost", "warning", gateway=self.name, reason=reason)
+        self.trial = asyncio.ensure_future(self._try_again())
+
+    async def _try_again(self) -> None:
+        """Open a connection in the background; no statement waits for it."""
+        pause_s = FIRST_TRIAL_PAUSE_S
+        while self.failed:
+            await asyncio.sleep(pause_s * random.uniform(0.5, 1.5))
+            if self.channel is not None or await self._open() is None:
+                self.failed = False
+                log_event("gateway_regained", gateway=self.name)
+            pause_s = min(LONGEST_TRIAL_PAUSE_S, pause_s * TRIAL_PAUSE_FACTOR)
 
     def _on_line(self, line: bytes) -> None:
         message = decode(line, FromGateway)
@@ -219,7 +240,9 @@
         return not is_failure(await self.connect())
 
     def close(self) -> None:
-        """Close the connection."""
+        """Close the connection and stop trying."""
+        if self.trial is not None:
+            self.trial.cancel()
         if self.channel is not None:
             self.channel.close()
             self.channel = None
--- a/chivescale/gateway/tests/steps/gateway_plan_steps.py
+++ b/chivescale/gateway/tests/steps/gateway_plan_steps.py
@@ -77,7 +77,7 @@
         peer = Peer("own", name, zone, "127.0.0.1:9")
         peer.waiting, peer.waiting_at = int(waiting), time
         peer.leaving = "leaving" in state
-        peer.failed_until = time + 1.0 if "failed" in state else 0.0
+        peer.failed = "failed" in state
         forwarder.peers[name] = peer
         names.append(name)
     forwarder.gateways = {"ledger": frozenset(names)}
--- a/chivescale/relay/_forwarder.py
+++ b/chivescale/relay/_forwarder.py
@@ -88,6 +88,8 @@
             if record is None or record.address != peer.address:
                 # Its open transactions go on until it closes.
                 peer.leaving = True
+                if peer.channel is None:
+                    peer.close()
                 self.former.append(self.peers.pop(name))
         wanted = frozenset().union(*gateways.values()) - {self.name}
         for name in sorted(wanted - self.peers.keys()):
@@ -127,7 +129,7 @@
             for name in self.gateways.get(service, ())
             if name not in excluded
             and (peer := self.peers.get(name)) is not None
-            and peer.usable(time)
+            and peer.usable
         ]
         return min(costs)[2] if costs else None
 
@@ -138,8 +140,12 @@
                 self.local.service_of(service)
             )
             return failure is None
-        peer = self.choose(service, set())
-        return peer is not None and await peer.reachable()
+        excluded: set[str] = set()
+        while (peer := self.choose(service, excluded)) is not None:
+            if await peer.reachable() or len(excluded) >= MAX_GATEWAYS:
+                return peer.channel is not None
+            excluded.add(peer.name)
+        return False
 
     def check_silence(self, time: float) -> None:
         """Check gateways whose answers are late."""
