Open the gateway's port before the callers' port, so that a start can repeat

Cause: start opened the callers' port first. If the gateway's port was still held by a former process, the repeated start failed on the callers' port that this process itself held, for ever.

Measured: platform/tests/gateway.feature, "A start is repeated ...", row gateway fails without the change. Two names of the gateway are clearer.

--- a/chivescale/relay/_forwarder.py
+++ b/chivescale/relay/_forwarder.py
@@ -235,7 +235,7 @@
         self, transaction: Transaction, work: Work
     ) -> Outcome:
         """Run a statement of an open transaction."""
-        if transaction.peer is None and self._here(transaction):
+        if transaction.peer is None and self._runs_here(transaction):
             return await self.local.run_in_transaction(transaction, work)
         transaction.wrote = transaction.wrote or work.writes
         outcome = await self._run_remote(transaction, work)
@@ -246,7 +246,7 @@
 
     async def commit(self, transaction: Transaction, work: Work) -> Outcome:
         """Commit an open transaction."""
-        if transaction.peer is None and self._here(transaction):
+        if transaction.peer is None and self._runs_here(transaction):
             return await self.local.commit(transaction, work)
         outcome = await self._run_remote(transaction, work)
         transaction.peer = None
@@ -263,7 +263,7 @@
             peer.roll_back(transaction.number)
         self.local.abandon(transaction)
 
-    def _here(self, transaction: Transaction) -> bool:
+    def _runs_here(self, transaction: Transaction) -> bool:
         return transaction.link is not None or self.serves(
             transaction.route.service
         )
--- a/chivescale/relay/_gateway.py
+++ b/chivescale/relay/_gateway.py
@@ -61,7 +61,7 @@
         self.committed = position
 
 
-class Held(msgspec.Struct, eq=False):
+class ForwardedTransaction(msgspec.Struct, eq=False):
     """A transaction that another host has begun here.
 
     Attributes
@@ -133,7 +133,7 @@
         self.channel = LineChannel(
             self._on_line, self._on_lost, MAX_FRAME_BYTES
         )
-        self.transactions: dict[int, Held] = {}
+        self.transactions: dict[int, ForwardedTransaction] = {}
         self.tasks: set[asyncio.Task] = set()
 
     def send(self, message) -> None:
@@ -219,7 +219,7 @@
             waiting=self.server.running,
         )
 
-    def _transaction(self, message: Run) -> Held | Failure:
+    def _transaction(self, message: Run) -> ForwardedTransaction | Failure:
         """Return the transaction of a statement; its first one begins it."""
         held = self.transactions.get(message.transaction)
         if held is not None:
@@ -234,11 +234,15 @@
         if self.server.host.stopping:
             return Failure(ErrorKind.SHUTTING_DOWN, "the gateway stops")
         begun_at = now() - message.begun_age_s
-        held = Held(Transaction(_route(message), message.read_only, begun_at))
+        held = ForwardedTransaction(
+            Transaction(_route(message), message.read_only, begun_at)
+        )
         self.transactions[message.transaction] = held
         return held
 
-    async def _execute(self, work: Work, held: Held | None, number: int):
+    async def _execute(
+        self, work: Work, held: ForwardedTransaction | None, number: int
+    ):
         local = self.server.host.local
         if held is None:
             return await local.run_single(work)
@@ -258,7 +262,7 @@
             self._start_timer(held, number)
         return outcome
 
-    def _start_timer(self, held: Held, number: int) -> None:
+    def _start_timer(self, held: ForwardedTransaction, number: int) -> None:
         limit_ms = self.server.host.idle_transaction_ms
         if limit_ms:
             loop = asyncio.get_running_loop()
--- a/chivescale/relay/_host.py
+++ b/chivescale/relay/_host.py
@@ -132,14 +132,17 @@
     # Life.
 
     async def start(self) -> None:
-        """Accept callers and follow the coordinators."""
+        """Accept callers and follow the coordinators.
+
+        May be called again after an OSError for a port that is taken.
+        """
+        if self.settings.gateway_address and self.gateway.server is None:
+            await self.gateway.start(self.settings.gateway_address)
         host, _, port = self.settings.callers_address.rpartition(":")
         loop = asyncio.get_running_loop()
         self.server = await loop.create_server(
             self._accept, host, int(port), backlog=512
         )
-        if self.settings.gateway_address:
-            await self.gateway.start(self.settings.gateway_address)
         self.tasks = [
             asyncio.ensure_future(self.follower.run()),
             asyncio.ensure_future(self.reachability.run()),
