Offer reads in turn through one piece of code

Cause: the executor and the forwarder had the same loop that offers a read to one candidate after the other, with a second one beside a slow one.

Change: _offers.Offers.first_answer serves both; behaviour is unchanged.

--- a/chivescale/relay/_executor.py
+++ b/chivescale/relay/_executor.py
@@ -17,6 +17,7 @@
     Running,
     Service,
 )
+from chivescale.relay._offers import Offers
 from chivescale.relay._outcomes import (
     NOT_RUN,
     aborted,
@@ -31,7 +32,6 @@
 from chivescale.relay._returns import Returns
 from chivescale.relay._transaction import Transaction
 from chivescale.relay._work import Outcome, Work, refusal_of
-from chivescale.retry import RetryBudget
 
 # Endpoints that one statement is offered to.
 MAX_ATTEMPTS = 4
@@ -39,9 +39,6 @@
 # the latency expected of the first one.
 HEDGE_S = 0.08
 HEDGE_FACTOR = 3.0
-# Share of reads that may be offered twice, and how many at once.
-HEDGE_SHARE = 0.1
-HEDGE_BURST = 10.0
 # Begins and replays take no slot of the endpoint, so they are answered even
 # under load; an endpoint that does not is suspected.
 PREPARE_TIMEOUT_S = 0.4
@@ -68,10 +65,9 @@
 
     def __init__(self, service_of: collections.abc.Callable[[str], Service]):
         self.service_of = service_of
-        self.retries = RetryBudget(HEDGE_SHARE, HEDGE_BURST)
+        self.offers = Offers()
         self.returns = Returns()
         self.proofs = Proofs(self.returns)
-        self.tasks: set[asyncio.Task] = set()
 
     # Single statements.
 
@@ -156,7 +152,7 @@
         )
         if is_failure(need):
             return await self._read_unproved(service, work, need)
-        self.retries.record_request()
+        self.offers.retries.record_request()
         outcome = await self._read_anywhere(service, work, need)
         failure = outcome if is_failure(outcome) else None
         if failure is None or not may_repeat_read(failure):
@@ -190,52 +186,39 @@
         second endpoint gets the read too, within the retry budget.
         """
         excluded: set[str] = set()
-        running: set[asyncio.Task] = set()
         rounds = 0
-        failure = no_endpoint(service.name)
-        while True:
-            time = now()
-            more = len(excluded) < MAX_ATTEMPTS and not work.expired()
-            endpoints = service.readers(need, excluded, time) if more else []
-            if endpoints and (not running or self.retries.try_retry()):
-                endpoint = endpoints[0]
-                excluded.add(endpoint.beat.endpoint)
-                if not service.admits(endpoint):
-                    failure = queue_refusal(endpoint.beat.endpoint)
-                    continue
-                work.attempts += 1
-                attempt = self._read_once(endpoint, work, need)
-                task = asyncio.ensure_future(attempt)
-                running.add(task)
-                wait_s = HEDGE_S + HEDGE_FACTOR * endpoint.expected_latency_s(
-                    time
-                )
-            else:
-                wait_s = None
-            if not running:
-                full = work.attempts and failure.kind is ErrorKind.OVERLOADED
-                if full and await wait_for_slot(work, rounds):
-                    rounds += 1
-                    excluded.clear()
-                    continue
-                return work.expired() or failure
-            done, running = await asyncio.wait(
-                running,
-                timeout=wait_s,
-                return_when=asyncio.FIRST_COMPLETED,
-            )
-            for task in done:
-                outcome = task.result()
-                if not is_failure(outcome) or not may_repeat_read(outcome):
-                    self._keep_running(running)
-                    return outcome
-                failure = outcome
 
-    def _keep_running(self, tasks: set[asyncio.Task]) -> None:
-        """Let attempts end whose answer is not needed any more."""
-        self.tasks |= tasks
-        for task in tasks:
-            task.add_done_callback(self.tasks.discard)
+        def choose() -> Endpoint | None:
+            if len(excluded) >= MAX_ATTEMPTS or work.expired():
+                return None
+            endpoints = service.readers(need, excluded, now())
+            return endpoints[0] if endpoints else None
+
+        def offer(endpoint: Endpoint):
+            excluded.add(endpoint.beat.endpoint)
+            if not service.admits(endpoint):
+                return queue_refusal(endpoint.beat.endpoint)
+            work.attempts += 1
+            usual_s = endpoint.expected_latency_s(now())
+            wait_s = HEDGE_S + HEDGE_FACTOR * usual_s
+            return self._read_once(endpoint, work, need), wait_s
+
+        async def exhausted(failure: Failure) -> Failure | None:
+            nonlocal rounds
+            full = work.attempts and failure.kind is ErrorKind.OVERLOADED
+            if full and await wait_for_slot(work, rounds):
+                rounds += 1
+                excluded.clear()
+                return None
+            return work.expired() or failure
+
+        return await self.offers.first_answer(
+            choose,
+            offer,
+            may_repeat_read,
+            exhausted,
+            no_endpoint(service.name),
+        )
 
     async def _read_once(
         self, endpoint: Endpoint, work: Work, need: Position
--- a/chivescale/relay/_forwarder.py
+++ b/chivescale/relay/_forwarder.py
@@ -1,6 +1,5 @@
 """Sends statements to the endpoints, from here or through a gateway."""
 
-import asyncio
 import collections.abc
 import random
 
@@ -10,10 +9,10 @@
 from chivescale.gateway import Answer, Peer, Run
 from chivescale.messages import EntryHostRecord
 from chivescale.relay._executor import Executor
+from chivescale.relay._offers import Offers
 from chivescale.relay._outcomes import aborted, write_failure
 from chivescale.relay._transaction import Transaction
 from chivescale.relay._work import MIN_ATTEMPT_S, Outcome, Work
-from chivescale.retry import RetryBudget
 from chivescale.telemetry import log_event
 
 # Gateways that one statement is offered to.
@@ -25,8 +24,6 @@
 # is above the usual latency of a read with a lost answer at its endpoint,
 # which the gateway handles itself.
 HEDGE_S = 0.35
-HEDGE_SHARE = 0.1
-HEDGE_BURST = 10.0
 # A gateway of another zone is chosen over one of the own zone with this many
 # more statements waiting.
 OTHER_ZONE_WAITING = 6
@@ -73,8 +70,7 @@
         self.gateways: dict[str, frozenset[str]] = {}
         self.peers: dict[str, Peer] = {}
         self.former: list[Peer] = []
-        self.retries = RetryBudget(HEDGE_SHARE, HEDGE_BURST)
-        self.tasks: set[asyncio.Task] = set()
+        self.offers = Offers()
 
     def update(
         self,
@@ -190,44 +186,24 @@
 
         One that does not answer for long is not waited for alone.
         """
-        self.retries.record_request()
+        self.offers.retries.record_request()
         excluded: set[str] = set()
-        running: set[asyncio.Task] = set()
-        failure = _no_gateway(service)
-        while True:
-            peer = None
-            if len(excluded) < MAX_GATEWAYS and not work.expired():
-                peer = self.choose(service, excluded)
-            if peer is not None and (not running or self.retries.try_retry()):
-                excluded.add(peer.name)
-                task = asyncio.ensure_future(self._ask(peer, work, None))
-                running.add(task)
-                wait_s = HEDGE_S
-            else:
-                wait_s = None
-            if not running:
-                return work.expired() or failure
-            done, running = await asyncio.wait(
-                running,
-                timeout=wait_s,
-                return_when=asyncio.FIRST_COMPLETED,
-            )
-            for task in done:
-                outcome = task.result()
-                repeat = is_failure(outcome) and (
-                    outcome.kind in ASK_ANOTHER
-                    or outcome.kind is ErrorKind.READ_INTERRUPTED
-                )
-                if not repeat:
-                    self._keep_running(running)
-                    return outcome
-                failure = outcome
-
-    def _keep_running(self, tasks: set[asyncio.Task]) -> None:
-        """Let attempts end whose answer is not needed any more."""
-        self.tasks |= tasks
-        for task in tasks:
-            task.add_done_callback(self.tasks.discard)
+
+        def choose() -> Peer | None:
+            if len(excluded) >= MAX_GATEWAYS or work.expired():
+                return None
+            return self.choose(service, excluded)
+
+        def offer(peer: Peer):
+            excluded.add(peer.name)
+            return self._ask(peer, work, None), HEDGE_S
+
+        async def exhausted(failure: Failure) -> Failure:
+            return work.expired() or failure
+
+        return await self.offers.first_answer(
+            choose, offer, _may_ask_another, exhausted, _no_gateway(service)
+        )
 
     # Transactions.
 
@@ -357,6 +333,14 @@
     return Reply(answer.rows, answer.signature)
 
 
+def _may_ask_another(failure: Failure) -> bool:
+    """Tell whether a read may be offered to another gateway."""
+    return (
+        failure.kind in ASK_ANOTHER
+        or failure.kind is ErrorKind.READ_INTERRUPTED
+    )
+
+
 def _no_gateway(service: str) -> Failure:
     """Return the refusal while no gateway can be reached."""
     reason = f"no gateway to {service} can be reached"
