Use primaries only under leases where endpoints are not fenced

An entry host uses a primary only while a majority of coordinators has granted a lease on its epoch (the log index of its promotion). The grants come with the long polls; coordinators pass the grants of the others on. The leader orders a promotion only when the former leases are revoked or expired, or when the former primary has confirmed its demotion. Writes whose lease ended before the answer are in doubt. Where endpoints are fenced the former path stays.

Ruled out: leases from the leader only (no writes in elections and splits); a quicker detector (the gap between promotion and detection remains).

--- a/chivescale/agreement/__init__.py
+++ b/chivescale/agreement/__init__.py
@@ -35,6 +35,7 @@
 from chivescale.agreement._host import AgreementHost
 from chivescale.agreement._machine import Agreement
 from chivescale.agreement._messages import (
+    COMMAND,
     AgreementMessage,
     AppendReply,
     AppendRequest,
@@ -52,6 +53,7 @@
 from chivescale.agreement._roster import Admit, Retire, Roster
 
 __all__ = [
+    "COMMAND",
     "Admit",
     "Agreement",
     "AgreementHost",
--- a/chivescale/coordinator/_distributor.py
+++ b/chivescale/coordinator/_distributor.py
@@ -66,8 +66,10 @@
 
     async def watch(self, request: WatchRequest) -> WatchAnswer:
         """Answer a long poll, at once if anything changed."""
-        self.hosts.update(request.host, request.leaving, now())
-        deadline = now() + min(request.wait_ms / 1000, MAX_WATCH_S)
+        received_at = now()
+        self.hosts.update(request.host, request.leaving, received_at)
+        self.host.leases.record_request(request)
+        deadline = received_at + min(request.wait_ms / 1000, MAX_WATCH_S)
         while not self._has_changes(request) and now() < deadline:
             waiter = asyncio.get_running_loop().create_future()
             self.waiters.add(waiter)
@@ -79,7 +81,7 @@
                 continue
             finally:
                 self.waiters.discard(waiter)
-        return self._build_answer(request)
+        return self._build_answer(request, received_at)
 
     def _has_changes(self, request: WatchRequest) -> bool:
         host = self.host
@@ -90,9 +92,12 @@
             or request.version < host.state.catalog.version
             or request.hosts_revision != self.hosts.revision
             or request.suspects != self.suspects
+            or host.leases.has_news(request)
         )
 
-    def _build_answer(self, request: WatchRequest) -> WatchAnswer:
+    def _build_answer(
+        self, request: WatchRequest, received_at: float
+    ) -> WatchAnswer:
         host = self.host
         same_process = request.boot == host.boot_id
         since = request.revision if same_process else -1
@@ -121,6 +126,7 @@
             hosts_revision=hosts.revision,
             hosts=() if hosts_known else hosts.active,
             suspects=self.suspects,
+            lease=host.leases.answer(request, received_at),
         )
 
     def _members(self) -> tuple[str, ...]:
--- a/chivescale/coordinator/_host.py
+++ b/chivescale/coordinator/_host.py
@@ -16,12 +16,15 @@
 from chivescale.catalog import Catalog, StoreResult
 from chivescale.clock import now
 from chivescale.coordinator._distributor import Distributor
+from chivescale.coordinator._leases import LeaseManager
 from chivescale.coordinator._membership import MembershipManager
 from chivescale.coordinator._messages import (
     Callers,
     DocumentAnswer,
     Gossip,
+    LeaseRequest,
     OrderPromotion,
+    RevokeRequest,
     StoreCatalog,
     StoreOrder,
 )
@@ -71,6 +74,9 @@
     may_form : bool
         Whether a new group with the seeds as its first members may be
         formed; False once a group has existed.
+    endpoints_fenced : bool
+        Whether an endpoint refuses writes as soon as another one was promoted
+        in its place. If not, entry hosts use a primary only under a lease.
     """
 
     name: str
@@ -79,6 +85,7 @@
     seeds: tuple[str, ...]
     data_dir: str
     may_form: bool
+    endpoints_fenced: bool = True
 
 
 class CoordinatorHost:
@@ -114,15 +121,19 @@
         self.registry = Registry()
         self.agreement = self.new_agreement()
         self.distributor = Distributor(self)
+        self.leases = LeaseManager(self)
         self.promoter = Promoter(self, dialect, authority)
         self.membership = MembershipManager(self)
         self.tasks: list[asyncio.Task] = []
+        self.background: set[asyncio.Task] = set()
         self.handlers = {
             "/v1/agreement": self._on_agreement,
             "/v1/watch": self._on_watch,
             "/v1/gossip": self._on_gossip,
             "/v1/callers": self._on_callers,
             "/v1/opinions": self._on_opinions,
+            "/v1/lease": self._on_lease,
+            "/v1/revoke": self._on_revoke,
             "/v1/store": self._on_store,
             "/v1/read": self._on_read,
         }
@@ -144,7 +155,7 @@
             Callbacks(
                 self._apply,
                 state.snapshot,
-                state.restore,
+                self._restore,
                 self._leadership_changed,
             ),
             address=settings.address,
@@ -157,16 +168,23 @@
         self.tasks = [
             asyncio.ensure_future(self.membership.run()),
             asyncio.ensure_future(self.distributor.run()),
+            asyncio.ensure_future(self.leases.run()),
         ]
 
     async def stop(self) -> None:
         """Stop all tasks and close the data directory."""
-        for task in self.tasks:
+        for task in (*self.tasks, *self.background):
             task.cancel()
         self.promoter.end()
         await self.agreement.close()
         await self.client.close()
 
+    def run_in_background(self, coroutine) -> None:
+        """Run a coroutine until it ends or this host stops."""
+        task = asyncio.ensure_future(coroutine)
+        self.background.add(task)
+        task.add_done_callback(self.background.discard)
+
     def use_seeds(self, seeds: tuple[str, ...]) -> None:
         """Apply seeds from changed settings.
 
@@ -191,8 +209,14 @@
                 index=index,
             )
             self.distributor.notify_waiters()
+        else:
+            self.leases.learn(self.state.epochs)
         return result
 
+    def _restore(self, data: bytes) -> None:
+        self.state.restore(data)
+        self.leases.learn(self.state.epochs)
+
     def _leadership_changed(self, leading: bool, term: int) -> None:
         if leading:
             self.promoter.begin()
@@ -293,11 +317,14 @@
             )
 
     async def reserve_fencing_token(
-        self, service: str, endpoint: str
+        self, service: str, endpoint: str, planned: bool
     ) -> int | Failure:
-        """Reserve the fencing token of one promotion."""
+        """Reserve the fencing token of one promotion.
+
+        This also begins the epoch of the promoted endpoint.
+        """
         holder = self.settings.name
-        command = encode(OrderPromotion(service, endpoint, holder))
+        command = encode(OrderPromotion(service, endpoint, holder, planned))
         return await self.agreement.propose(command, now() + COMMAND_TIMEOUT_S)
 
     # Requests of other processes of the system.
@@ -347,6 +374,18 @@
         self.promoter.record_opinions(report)
         return Empty()
 
+    async def _on_lease(self, body: bytes):
+        request = decode(body, LeaseRequest)
+        if is_failure(request):
+            return request
+        return self.leases.on_lease_request(request)
+
+    async def _on_revoke(self, body: bytes):
+        request = decode(body, RevokeRequest)
+        if is_failure(request):
+            return request
+        return await self.leases.on_revoke(request)
+
     async def _on_store(self, body: bytes):
         order = decode(body, StoreOrder)
         if is_failure(order):
--- a/chivescale/coordinator/_messages.py
+++ b/chivescale/coordinator/_messages.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from chivescale.agreement import Member
+from chivescale.lease import Epoch
 from chivescale.messages import EntryHostRecord
 from chivescale.registry import EndpointBeat
 
@@ -24,21 +25,32 @@
     """Command: reserve the fencing token of one promotion.
 
     The token is the log index of the command. It is therefore unique to one
-    holder and higher than all earlier tokens.
+    holder and higher than all earlier tokens. The command also begins the
+    epoch in which the endpoint is the primary.
     """
 
     service: str
     endpoint: str
     holder: str
+    planned: bool = False
 
 
 Command = StoreCatalog | OrderPromotion
 
 
 class SnapshotState(msgspec.Struct, frozen=True):
-    """State in a snapshot; empty before the first configuration."""
+    """State in a snapshot.
+
+    Attributes
+    ----------
+    packed : bytes
+        Compressed configuration document; empty before the first one.
+    epochs : dict of str to Epoch
+        Latest epoch of each service.
+    """
 
     packed: bytes
+    epochs: dict[str, Epoch] = {}
 
 
 class HostSeen(msgspec.Struct, frozen=True, array_like=True):
@@ -83,6 +95,34 @@
     packed: bytes
 
 
+class LeaseRequest(msgspec.Struct, frozen=True):
+    """Request of another coordinator for a grant that it may pass on.
+
+    Attributes
+    ----------
+    sender : str
+        Address of that coordinator.
+    index : int
+        Highest epoch index known to it.
+    """
+
+    sender: str
+    index: int
+
+
+class RevokeRequest(msgspec.Struct, frozen=True):
+    """Order of the leader to end the epochs below a committed one.
+
+    Attributes
+    ----------
+    index, term : int
+        Log index and term of the promotion that begins the new epoch.
+    """
+
+    index: int
+    term: int
+
+
 class DocumentAnswer(msgspec.Struct, frozen=True):
     """Compressed configuration in force, confirmed by a quorum."""
 
--- a/chivescale/coordinator/_promoter.py
+++ b/chivescale/coordinator/_promoter.py
@@ -34,10 +34,22 @@
 RETRY_DELAY_S = 0.2
 # Endpoints send heartbeats every 1.2 s, so a primary is known after three.
 NO_PRIMARY_TIMEOUT_S = 4.0
+# In a handover, entry hosts have this long to finish their writes on the
+# former primary before it is demoted.
+HANDOVER_WAIT_S = 0.5
+# Time for the successor in a handover to receive the last commits.
+CATCH_UP_TIMEOUT_S = 0.3
+CATCH_UP_POLL_S = 0.02
 
 
 class WatchedPrimary(msgspec.Struct):
-    """The primary of a service, its detector and its replacement task."""
+    """The primary of a service, its detector and its replacement task.
+
+    Attributes
+    ----------
+    not_primary_since : float or None
+        Time since which the endpoint answers that it is not the primary.
+    """
 
     service: str
     endpoint: str
@@ -45,6 +57,7 @@
     detector: PrimaryDetector
     prober: asyncio.Task | None = None
     replacement: asyncio.Task | None = None
+    not_primary_since: float | None = None
 
 
 class Promoter:
@@ -179,7 +192,15 @@
         return watched
 
     def _find_primary(self, service: str) -> EndpointEntry | None:
-        """Return the endpoint that became primary most recently."""
+        """Return the endpoint that became primary most recently.
+
+        A former primary that does not know of its successor still claims to
+        be primary. Where that can happen, the log decides.
+        """
+        epoch = self.host.leases.epoch(service)
+        if self.host.leases.enabled and epoch.index:
+            entry = self.host.registry.entries.get(epoch.endpoint)
+            return None if entry is None or entry.heartbeat.gone else entry
         primaries = [
             entry
             for entry in self.host.registry.service_endpoints(service)
@@ -195,6 +216,10 @@
         entry = self.host.registry.entries.get(watched.endpoint)
         if entry is None or entry.heartbeat.gone:
             return True
+        since = watched.not_primary_since
+        if since is not None and now() - since > TAKEOVER_TIMEOUT_S:
+            # Its promotion was agreed on but perhaps never ordered.
+            return True
         return verdict is Verdict.DEAD or entry.heartbeat.draining
 
     # Probes.
@@ -236,6 +261,10 @@
                 watched.detector.record_failure(True, now())
             else:
                 watched.detector.record_failure(False, now())
+            if self.host.leases.enabled and outcome is False:
+                watched.not_primary_since = watched.not_primary_since or now()
+            else:
+                watched.not_primary_since = None
             pause = PROBE_INTERVAL_S
             if is_failure(outcome):
                 log_event(
@@ -290,11 +319,7 @@
 
     async def _replace_once(self, watched: WatchedPrimary, dead: bool) -> bool:
         service = watched.service
-        current = self._find_primary(service)
-        if current is not None and (
-            (current.heartbeat.endpoint, current.heartbeat.born_ms)
-            != (watched.endpoint, watched.born_ms)
-        ):
+        if await self._is_replaced(watched):
             return True
         new_primary = await self._choose_successor(watched, dead)
         if is_failure(new_primary):
@@ -305,10 +330,14 @@
                 reason=new_primary.reason,
             )
             return False
-        token = await self.host.reserve_fencing_token(service, new_primary)
+        token = await self.host.reserve_fencing_token(
+            service, new_primary, not dead
+        )
         if is_failure(token):
             log_event("no_token", "warning", reason=token.reason)
             return False
+        if self.host.leases.enabled:
+            await self._end_epoch(watched, new_primary, token, dead)
         outcome = await self.authority.promote(
             service, new_primary, self.host.settings.name, token
         )
@@ -322,10 +351,82 @@
         )
         if outcome is not OrderOutcome.ACCEPTED:
             return False
-        if not dead:
-            await self._demote_primary(watched)
+        if not dead or self.host.leases.enabled:
+            demotion = self._demote_primary(watched)
+            _, taken_over = await asyncio.gather(
+                demotion, self._await_takeover(new_primary)
+            )
+            return taken_over
         return await self._await_takeover(new_primary)
 
+    async def _is_replaced(self, watched: WatchedPrimary) -> bool:
+        """Return whether another endpoint is the primary of the service."""
+        current = self._find_primary(watched.service)
+        if current is None:
+            return False
+        heartbeat = current.heartbeat
+        changed = (heartbeat.endpoint, heartbeat.born_ms) != (
+            watched.endpoint,
+            watched.born_ms,
+        )
+        if changed and self.host.leases.enabled:
+            # Its promotion was agreed on but may not have happened.
+            return await self._check_primary(heartbeat.endpoint) is True
+        return changed
+
+    async def _end_epoch(
+        self, watched: WatchedPrimary, successor: str, index: int, dead: bool
+    ) -> None:
+        """Return when no write can succeed on the former primary any more.
+
+        Either the leases on its epoch have ended, or it knows that it is not
+        the primary.
+        """
+        started = now()
+        revocation = asyncio.ensure_future(self.host.leases.revoke(index))
+        demotion = asyncio.ensure_future(
+            self._demote_until_done(watched, 0.0 if dead else HANDOVER_WAIT_S)
+        )
+        try:
+            await asyncio.wait(
+                (revocation, demotion), return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            revocation.cancel()
+            demotion.cancel()
+        log_event(
+            "epoch_ended",
+            service=watched.service,
+            endpoint=watched.endpoint,
+            index=index,
+            demoted=demotion.done() and not demotion.cancelled(),
+            waiting_for=",".join(self.host.leases.unconfirmed_hosts(index)),
+            duration_s=now() - started,
+        )
+        if not dead:
+            await self._await_catch_up(watched.endpoint, successor)
+
+    async def _demote_until_done(
+        self, watched: WatchedPrimary, delay_s: float
+    ) -> None:
+        """Return when the former primary has confirmed its demotion."""
+        await asyncio.sleep(delay_s)
+        while not await self._demote_primary(watched):
+            await asyncio.sleep(RETRY_DELAY_S)
+
+    async def _await_catch_up(self, former: str, successor: str) -> None:
+        """Wait until the successor has received the commits of the former."""
+        deadline = now() + CATCH_UP_TIMEOUT_S
+        text = self.dialect.state_text()
+        while now() < deadline:
+            states = await asyncio.gather(
+                self._query_state(former, text),
+                self._query_state(successor, text),
+            )
+            if None in states or states[0].received <= states[1].received:
+                return
+            await asyncio.sleep(CATCH_UP_POLL_S)
+
     async def _choose_successor(
         self, watched: WatchedPrimary, dead: bool
     ) -> str | Failure:
@@ -348,6 +449,13 @@
                 for entry in entries
             )
         )
+        if self.host.leases.enabled:
+            # An endpoint that claims to be primary may have been replaced
+            # without noticing. Entry hosts would write on it at once.
+            states = [
+                None if state is not None and state.primary else state
+                for state in states
+            ]
         candidates = [
             Candidate(
                 entry.heartbeat.endpoint,
@@ -374,10 +482,15 @@
         return new_primary
 
     def _replicas(self, watched: WatchedPrimary) -> list[EndpointEntry]:
+        """Return the endpoints that may succeed a primary.
+
+        One whose promotion was agreed on but did not happen is among them.
+        """
         return [
             entry
             for entry in self.host.registry.service_endpoints(watched.service)
             if entry.heartbeat.endpoint != watched.endpoint
+            or watched.not_primary_since is not None
         ]
 
     async def _highest_term(self, entries: list[EndpointEntry]) -> int:
@@ -425,14 +538,19 @@
             return None
         return state
 
-    async def _demote_primary(self, watched: WatchedPrimary) -> None:
-        """Stop a draining primary so that its last commits are replicated."""
+    async def _demote_primary(self, watched: WatchedPrimary) -> bool:
+        """Demote the former primary; tell whether it has confirmed that.
+
+        Its last commits are replicated afterwards.
+        """
         state = await self._query_state(
             watched.endpoint, self.dialect.state_text()
         )
         link = self.links.get(watched.endpoint)
         if state is None or link is None:
-            return
+            return False
+        if not state.primary:
+            return True
         text = self.dialect.demote_text(state.term + 1)
         reply = await link.statement(text, STATE_TIMEOUT_S)
         refusal = None if is_failure(reply) else reply.refusal
@@ -449,6 +567,10 @@
                 else "done"
             ),
         )
+        if is_failure(reply) or refusal is not None:
+            return False
+        after = self.dialect.decode_state(reply)
+        return not is_failure(after) and not after.primary
 
     async def _await_takeover(self, endpoint: str) -> bool:
         """Wait until the new primary accepts transactions."""
--- a/chivescale/coordinator/_replicated.py
+++ b/chivescale/coordinator/_replicated.py
@@ -11,6 +11,7 @@
     StoreCatalog,
 )
 from chivescale.errors import Failure, is_failure
+from chivescale.lease import Epoch
 from chivescale.messages import decode, encode
 
 DecodeDocument = collections.abc.Callable[[bytes], Catalog | Failure]
@@ -32,6 +33,8 @@
         Compressed document of the configuration in force.
     compressed_catalog : bytes
         Compressed decoded configuration, as sent to entry hosts.
+    epochs : dict of str to Epoch
+        Latest epoch of each service.
     """
 
     def __init__(self, decode_document: DecodeDocument):
@@ -39,6 +42,7 @@
         self.catalog = CatalogState()
         self.compressed_document = b""
         self.compressed_catalog = b""
+        self.epochs: dict[str, Epoch] = {}
 
     def apply(self, index: int, data: bytes):
         """Apply one command and return its result."""
@@ -53,6 +57,7 @@
             case StoreCatalog(compressed):
                 return self._store(compressed)
             case OrderPromotion():
+                self.epochs.update(promotion_epoch(index, command))
                 return index
 
     def _store(self, compressed: bytes):
@@ -69,7 +74,7 @@
 
     def snapshot(self) -> bytes:
         """Return the encoded state."""
-        return encode(SnapshotState(self.compressed_document))
+        return encode(SnapshotState(self.compressed_document, self.epochs))
 
     def restore(self, data: bytes) -> None:
         """Replace the state by that of a snapshot."""
@@ -77,5 +82,12 @@
         if is_failure(state):
             raise AssertionError(f"cannot decode the snapshot: {state.reason}")
         self.catalog = CatalogState()
+        self.epochs = dict(state.epochs)
         if state.packed:
             self._store(state.packed)
+
+
+def promotion_epoch(index: int, command: OrderPromotion) -> dict[str, Epoch]:
+    """Return the epoch that a promotion begins, by service."""
+    epoch = Epoch(index, command.endpoint, command.planned)
+    return {command.service: epoch}
--- a/chivescale/messages/__init__.py
+++ b/chivescale/messages/__init__.py
@@ -47,6 +47,7 @@
     Status,
 )
 from chivescale.messages._watch import (
+    NO_LEASES,
     Empty,
     EndpointUpdate,
     EntryHostRecord,
@@ -56,6 +57,7 @@
 )
 
 __all__ = [
+    "NO_LEASES",
     "EntryHostRecord",
     "AcceptSheet",
     "Accepted",
--- a/chivescale/messages/_watch.py
+++ b/chivescale/messages/_watch.py
@@ -2,8 +2,12 @@
 
 import msgspec
 
+from chivescale.lease import LeaseAnswer
 from chivescale.registry import EndpointBeat
 
+# Reported by a host that uses no leases, and by one that gives them up.
+NO_LEASES = -1
+
 
 class EndpointUpdate(msgspec.Struct, frozen=True):
     """Latest heartbeat of an endpoint, as sent by a coordinator.
@@ -59,6 +63,9 @@
         Suspected endpoints already known to the requesting host.
     wait_ms : int
         Maximum time to wait for changes.
+    lease_index : int
+        The host uses no epoch with a lower index; ``NO_LEASES`` if it uses
+        no leases.
     """
 
     host: EntryHostRecord
@@ -69,6 +76,7 @@
     version: int
     suspects: tuple[str, ...]
     wait_ms: int
+    lease_index: int = NO_LEASES
 
 
 class WatchAnswer(msgspec.Struct, frozen=True):
@@ -95,6 +103,8 @@
         requested revision.
     suspects : tuple of str
         Endpoints whose reachability entry hosts are asked to report.
+    lease : LeaseAnswer or None
+        Epochs and grants, if the host uses leases.
     """
 
     boot: str
@@ -107,6 +117,7 @@
     hosts_revision: int
     hosts: tuple[EntryHostRecord, ...]
     suspects: tuple[str, ...]
+    lease: LeaseAnswer | None = None
 
 
 class ReachabilityReport(msgspec.Struct, frozen=True):
--- a/chivescale/relay/_coordinator_watcher.py
+++ b/chivescale/relay/_coordinator_watcher.py
@@ -8,6 +8,7 @@
 from chivescale.errors import ErrorKind, is_failure
 from chivescale.link import open_link
 from chivescale.messages import (
+    NO_LEASES,
     Empty,
     EntryHostRecord,
     ReachabilityReport,
@@ -25,6 +26,8 @@
 # the configuration in force; another one is used.
 MAX_COORDINATOR_STALENESS_S = 0.5
 RETRY_DELAY_S = 0.1
+# A lease that ends sooner than this needs further grants at once.
+MIN_LEASE_S = 0.9
 # Minimum interval between attempts to return to the coordinator of the own
 # zone.
 SAME_ZONE_RETRY_S = 5.0
@@ -74,13 +77,19 @@
             address = self.coordinators[
                 self.current_index % len(self.coordinators)
             ]
-            response = await self._poll(address)
+            lease_index = NO_LEASES
+            if self.host.leases is not None:
+                lease_index = await self.host.leases.confirm()
+            sent_at = now()
+            response = await self._poll(address, lease_index)
             if is_failure(response):
                 self._set_connected(False, address, response.reason)
                 self._switch_coordinator()
                 await asyncio.sleep(RETRY_DELAY_S)
                 continue
             self._apply_response(response)
+            if self.host.leases is not None and response.lease is not None:
+                self.host.leases.apply(response.lease, sent_at)
             if response.age_s > MAX_COORDINATOR_STALENESS_S:
                 reason = f"no contact to a quorum for {response.age_s:.3g} s"
                 self._set_connected(False, address, reason)
@@ -90,8 +99,20 @@
             self.last_updated_at = now() - response.age_s
             self._set_connected(True, address, "")
             self.long_poll = True
+            if not self._leases_suffice():
+                # Other coordinators may hold the grants that are missing.
+                self._switch_coordinator()
+                await asyncio.sleep(RETRY_DELAY_S)
+
+    def _leases_suffice(self) -> bool:
+        """Return whether the leases last until the next long poll ends."""
+        host = self.host
+        if host.leases is None:
+            return True
+        until = now() + MIN_LEASE_S
+        return host.leases.covers(host.max_connections, until)
 
-    async def _poll(self, address: str):
+    async def _poll(self, address: str, lease_index: int):
         catalog, settings = self.host.catalog, self.host.settings
         request = WatchRequest(
             host=EntryHostRecord(
@@ -104,6 +125,7 @@
             version=catalog.version if catalog else -1,
             suspects=self.suspects,
             wait_ms=LONG_POLL_MS if self.long_poll else 0,
+            lease_index=lease_index,
         )
         return await self.host.http_client.call(
             address,
@@ -115,6 +137,17 @@
             + LONG_POLL_MARGIN_S,
         )
 
+    async def release_leases(self) -> None:
+        """Tell the coordinator that this host uses no primary any more.
+
+        A promotion then need not wait until the leases expire.
+        """
+        self.long_poll = False
+        address = self.coordinators[
+            self.current_index % len(self.coordinators)
+        ]
+        await self._poll(address, NO_LEASES)
+
     def add_seeds(self, seeds: list[str]) -> None:
         """Add coordinator addresses from changed settings."""
         self.coordinators += [s for s in seeds if s not in self.coordinators]
--- a/chivescale/relay/_endpoint.py
+++ b/chivescale/relay/_endpoint.py
@@ -9,6 +9,7 @@
 from chivescale.clock import now
 from chivescale.dialect import EndpointDialect
 from chivescale.errors import ErrorKind, Failure, is_failure
+from chivescale.lease import Epoch
 from chivescale.link import Link, can_connect, open_link
 from chivescale.messages import Position
 from chivescale.registry import EndpointBeat
@@ -314,9 +315,14 @@
         if self.primary == endpoint.beat.endpoint:
             self.primary = ""
 
-    def primary_candidates(self, time: float) -> list[Endpoint]:
+    def primary_candidates(
+        self, time: float, epoch: Epoch | None = None
+    ) -> list[Endpoint]:
         """Return the endpoints that may be primary, most likely first.
 
+        After the first promotion, an epoch names the only one. Otherwise,
+        without an epoch, the claims of the endpoints count.
+
         The endpoint confirmed last comes first unless another one has
         claimed to be primary since. Endpoints without a claim are returned
         only if no endpoint with a claim is usable. This lets a host that has
@@ -324,6 +330,8 @@
         primary refuses immediately.
         """
         usable = [e for e in self.endpoints.values() if e.usable(time)]
+        if epoch is not None and epoch.index:
+            usable = [e for e in usable if e.beat.endpoint == epoch.endpoint]
         claims = [
             (max(e.primary_since, self._confirmed_at(e)), e.beat.endpoint, e)
             for e in usable
--- a/chivescale/relay/_executor.py
+++ b/chivescale/relay/_executor.py
@@ -39,6 +39,7 @@
 )
 from chivescale.relay._release import ConnectionReleaser
 from chivescale.relay._request import Outcome, StatementRequest, failure_from
+from chivescale.relay._term_leases import TermLeases, Unleased
 from chivescale.relay._transaction import Transaction
 
 # Maximum number of endpoints tried for one statement.
@@ -69,13 +70,20 @@
     ----------
     get_service : callable
         ``(name) -> Service``.
+    leases : TermLeases or Unleased, optional
+        Leases that the use of a primary requires.
     """
 
-    def __init__(self, get_service: collections.abc.Callable[[str], Service]):
+    def __init__(
+        self,
+        get_service: collections.abc.Callable[[str], Service],
+        leases: TermLeases | Unleased | None = None,
+    ):
         self.get_service = get_service
+        self.leases = leases or Unleased()
         self.hedged_reads = HedgedReads()
         self.releaser = ConnectionReleaser()
-        self.read_barriers = ReadBarriers(self.releaser)
+        self.read_barriers = ReadBarriers(self.releaser, self.leases)
 
     # Single statements.
 
@@ -92,7 +100,10 @@
         self, service: Service, request: StatementRequest
     ) -> Outcome:
         failure = None
-        for endpoint in service.primary_candidates(now())[:MAX_ATTEMPTS]:
+        epoch = await self._acquire_lease(service, request)
+        if is_failure(epoch):
+            return epoch
+        for endpoint in self._primaries(service)[:MAX_ATTEMPTS]:
             if not service.admits(endpoint):
                 return queue_delay_failure(endpoint.beat.endpoint)
             connection = await self._acquire(endpoint, request)
@@ -100,10 +111,14 @@
                 failure = connection
                 continue
             sent_at = now()
-            outcome = await self._run(endpoint, connection, request)
+            outcome = await self._run_leased_write(
+                service, endpoint, connection, request, epoch
+            )
             self.releaser.release(endpoint, connection)
             if not is_failure(outcome):
-                service.record_primary(endpoint, outcome.position, sent_at)
+                self._record_primary(
+                    service, endpoint, outcome.position, sent_at, epoch
+                )
                 request.session.record_commit(service.name, outcome.position)
                 return outcome
             if outcome.kind not in NOT_EXECUTED:
@@ -126,7 +141,10 @@
         failure = None
         other_failures = slot_waits = 0
         while other_failures < MAX_ATTEMPTS and not request.expired():
-            endpoints = service.primary_candidates(now())
+            epoch = await self._acquire_lease(service, request)
+            if is_failure(epoch):
+                return epoch
+            endpoints = self._primaries(service)
             if not endpoints:
                 break
             endpoint = endpoints[0]
@@ -134,7 +152,7 @@
                 return queue_delay_failure(endpoint.beat.endpoint)
             request.attempts += 1
             connection = await self._acquire_and_begin(
-                service, endpoint, request, True, None
+                service, endpoint, request, epoch, None
             )
             if is_failure(connection):
                 failure = connection
@@ -270,18 +288,27 @@
             if failure is not None:
                 return failure
         endpoint, connection = transaction.endpoint, transaction.connection
+        if request.writes and transaction.epoch is not None:
+            failure = await self._verify_lease(transaction, request)
+            if failure is not None:
+                self.abandon(transaction)
+                return as_aborted(failure)
         transaction.wrote = transaction.wrote or request.writes
         sent_at = now()
         outcome = await self._run(endpoint, connection, request)
         if not is_failure(outcome):
-            if transaction.on_primary:
-                transaction.service.record_primary(
-                    endpoint, outcome.position, sent_at
+            if transaction.epoch is not None:
+                self._record_primary(
+                    transaction.service,
+                    endpoint,
+                    outcome.position,
+                    sent_at,
+                    transaction.epoch,
                 )
             return outcome
         if (
             outcome.kind is ErrorKind.ENDPOINT_READ_ONLY
-            and transaction.on_primary
+            and transaction.epoch is not None
         ):
             transaction.service.record_not_primary(endpoint)
         self.abandon(transaction)
@@ -306,10 +333,15 @@
         failure = None
         excluded: set[str] = set()
         while request.attempts < MAX_ATTEMPTS and not request.expired():
+            epoch = None
             if on_primary:
-                endpoints = service.primary_candidates(now())
+                epoch = await self._acquire_lease(service, request)
+                if is_failure(epoch):
+                    return epoch
                 endpoints = [
-                    e for e in endpoints if e.beat.endpoint not in excluded
+                    e
+                    for e in self._primaries(service)
+                    if e.beat.endpoint not in excluded
                 ]
             else:
                 endpoints = service.read_candidates(
@@ -327,11 +359,11 @@
                 service,
                 endpoint,
                 request,
-                on_primary,
+                epoch,
                 None if on_primary else min_position,
             )
             if not is_failure(connection):
-                transaction.attach(service, endpoint, connection, on_primary)
+                transaction.attach(service, endpoint, connection, epoch)
                 return None
             failure = connection
         if failure is not None and not on_primary:
@@ -348,14 +380,15 @@
         service: Service,
     ) -> Failure | None:
         failure = None
-        for endpoint in service.primary_candidates(now())[:MAX_ATTEMPTS]:
+        epoch = await self._acquire_lease(service, request)
+        if is_failure(epoch):
+            return epoch
+        for endpoint in self._primaries(service)[:MAX_ATTEMPTS]:
             connection = await self._acquire_and_begin(
-                service, endpoint, request, True, None
+                service, endpoint, request, epoch, None
             )
             if not is_failure(connection):
-                transaction.attach(
-                    service, endpoint, connection, on_primary=True
-                )
+                transaction.attach(service, endpoint, connection, epoch)
                 return None
             failure = connection
         return failure or no_primary_failure(service)
@@ -368,20 +401,40 @@
             failure = await self._begin_transaction(transaction, request)
             if failure is not None:
                 return as_aborted(failure)
-        endpoint, connection = transaction.endpoint, transaction.connection
-        sent_at = now()
-        outcome = await self._run(endpoint, connection, request)
-        transaction.connection = None
-        self.releaser.release(endpoint, connection)
-        if not is_failure(outcome):
-            if transaction.wrote:
-                service = transaction.service
-                service.record_primary(endpoint, outcome.position, sent_at)
-                request.session.record_commit(service.name, outcome.position)
-            return outcome
         if not transaction.wrote:
-            return as_aborted(outcome)
-        return as_write_failure(outcome)
+            outcome = await self._run(
+                transaction.endpoint, transaction.connection, request
+            )
+            self._release(transaction)
+            return as_aborted(outcome) if is_failure(outcome) else outcome
+        return await self._commit_writes(transaction, request)
+
+    async def _commit_writes(
+        self, transaction: Transaction, request: StatementRequest
+    ) -> Outcome:
+        failure = await self._verify_lease(transaction, request)
+        if failure is not None:
+            self.abandon(transaction)
+            return as_aborted(failure)
+        service, epoch = transaction.service, transaction.epoch
+        endpoint = transaction.endpoint
+        sent_at = now()
+        outcome = await self._run_leased_write(
+            service, endpoint, transaction.connection, request, epoch
+        )
+        self._release(transaction)
+        if is_failure(outcome):
+            return as_write_failure(outcome)
+        self._record_primary(
+            service, endpoint, outcome.position, sent_at, epoch
+        )
+        request.session.record_commit(service.name, outcome.position)
+        return outcome
+
+    def _release(self, transaction: Transaction) -> None:
+        """Return the connection of a transaction that has ended."""
+        connection, transaction.connection = transaction.connection, None
+        self.releaser.release(transaction.endpoint, connection)
 
     def abandon(self, transaction: Transaction) -> None:
         """Start the rollback of a transaction without waiting for it."""
@@ -391,6 +444,71 @@
         if connection is not None:
             self.releaser.roll_back(transaction.endpoint, connection)
 
+    # Leases.
+
+    def _primaries(self, service: Service) -> list[Endpoint]:
+        """Return the endpoints that may be primary in the current epoch."""
+        return service.primary_candidates(
+            now(), self.leases.current(service.name)
+        )
+
+    async def _acquire_lease(
+        self, service: Service, request: StatementRequest
+    ) -> int | Failure:
+        """Return the epoch whose primary the statement may use."""
+        return await self.leases.acquire(
+            service.name, request.connection_wait_s(now())
+        )
+
+    async def _verify_lease(
+        self, transaction: Transaction, request: StatementRequest
+    ) -> Failure | None:
+        """Return a failure if the epoch of a transaction has ended."""
+        return await self.leases.verify(
+            transaction.service.name,
+            transaction.epoch,
+            request.connection_wait_s(now()),
+        )
+
+    def _record_primary(
+        self,
+        service: Service,
+        endpoint: Endpoint,
+        position: Position | None,
+        sent_at: float,
+        epoch: int,
+    ) -> None:
+        """Record a position of the primary if it was the only one."""
+        if self.leases.holds(service.name, epoch, sent_at):
+            service.record_primary(endpoint, position, sent_at)
+
+    async def _run_leased_write(
+        self,
+        service: Service,
+        endpoint: Endpoint,
+        connection: Link,
+        request: StatementRequest,
+        epoch: int,
+    ) -> Outcome:
+        """Run a write or commit; succeed only if the lease still holds.
+
+        Without the lease, another endpoint may have become primary before
+        the write was committed, and its log may lack the write.
+        """
+        self.leases.begin_write(service.name)
+        try:
+            outcome = await self._run(endpoint, connection, request)
+            if is_failure(outcome):
+                return outcome
+            failure = await self.leases.verify(
+                service.name, epoch, request.remaining_s(now())
+            )
+        finally:
+            self.leases.end_write(service.name)
+        if failure is not None:
+            return Failure(ErrorKind.OUTCOME_UNKNOWN, failure.reason)
+        return outcome
+
     # Connections.
 
     async def _acquire(
@@ -409,14 +527,25 @@
         service: Service,
         endpoint: Endpoint,
         request: StatementRequest,
-        on_primary: bool,
+        epoch: int | None,
         after: Position | None,
     ) -> Link | Failure:
-        """Return a connection on which a transaction was begun."""
+        """Return a connection on which a transaction was begun.
+
+        With an epoch, only a primary begins the transaction, and it is begun
+        under a lease.
+        """
         connection = await self._acquire(endpoint, request)
         if is_failure(connection):
             return connection
-        begin = connection.dialect.begin_text(not on_primary, after)
+        if epoch is not None:
+            failure = await self.leases.verify(
+                service.name, epoch, request.connection_wait_s(now())
+            )
+            if failure is not None:
+                self.releaser.release(endpoint, connection)
+                return failure
+        begin = connection.dialect.begin_text(epoch is None, after)
         required = RequiredState(
             request.session.values, request.definition, begin
         )
@@ -426,8 +555,10 @@
         )
         connection.last_session = request.session
         if not is_failure(begun):
-            if on_primary:
-                service.record_primary(endpoint, begun.position, sent_at)
+            if epoch is not None:
+                self._record_primary(
+                    service, endpoint, begun.position, sent_at, epoch
+                )
             return connection
         failure = begun
         suspect_on_timeout(endpoint, failure)
--- a/chivescale/relay/_host.py
+++ b/chivescale/relay/_host.py
@@ -19,6 +19,7 @@
 from chivescale.relay._gateway import GatewayServer
 from chivescale.relay._isolation import IsolationMonitor
 from chivescale.relay._session import ClientSession
+from chivescale.relay._term_leases import TermLeases
 from chivescale.telemetry import COUNTERS, log_decision, log_event
 
 MAINTENANCE_INTERVAL_S = 1.0
@@ -68,6 +69,9 @@
     min_gateway_connections : int
         Minimum number of connections per gateway to an endpoint: one for a
         transaction and one for concurrent statements.
+    endpoints_fenced : bool
+        Whether an endpoint refuses writes as soon as another one was promoted
+        in its place. If not, this host uses a primary only under a lease.
     """
 
     name: str
@@ -78,6 +82,7 @@
     gateway_address: str = ""
     min_direct_connections: int = 1
     min_gateway_connections: int = 2
+    endpoints_fenced: bool = True
 
 
 class RelayHost:
@@ -123,7 +128,8 @@
         self.services: dict[str, Service] = {}
         self.by_id: dict[str, Endpoint] = {}
         self.sessions: set[ClientSession] = set()
-        self.local_executor = Executor(self.service)
+        self.leases = None if settings.endpoints_fenced else TermLeases()
+        self.local_executor = Executor(self.service, self.leases)
         self.executor = Forwarder(
             settings.name, settings.zone, self.local_executor, rng
         )
@@ -224,6 +230,8 @@
             task.cancel()
         for endpoint in self.by_id.values():
             endpoint.close()
+        if self.leases is not None:
+            await self.follower.release_leases()
         await self.http_client.close()
 
     @property
--- a/chivescale/relay/_read_barrier.py
+++ b/chivescale/relay/_read_barrier.py
@@ -9,6 +9,7 @@
 from chivescale.relay._endpoint import Endpoint, Service
 from chivescale.relay._release import ConnectionReleaser
 from chivescale.relay._request import StatementRequest, failure_from
+from chivescale.relay._term_leases import TermLeases, Unleased
 
 # A confirmed position is refreshed in the background when its age exceeds
 # this fraction of the accepted staleness.
@@ -26,6 +27,8 @@
     ----------
     releaser : ConnectionReleaser
         Returns the connections used for queries to their pools.
+    leases : TermLeases or Unleased
+        Leases that the use of a primary requires.
 
     Attributes
     ----------
@@ -33,8 +36,11 @@
         Latest query by service.
     """
 
-    def __init__(self, releaser: ConnectionReleaser):
+    def __init__(
+        self, releaser: ConnectionReleaser, leases: TermLeases | Unleased
+    ):
         self.releaser = releaser
+        self.leases = leases
         self.pending: dict[str, asyncio.Task] = {}
 
     async def required_position(
@@ -85,10 +91,13 @@
             return Failure(ErrorKind.FRESHNESS_UNPROVED, reason)
 
     async def _query_primary(self, service: Service) -> Failure | None:
+        epoch = await self.leases.acquire(service.name, BARRIER_TIMEOUT_S)
+        if is_failure(epoch):
+            return epoch
         failure = no_primary_failure(service)
-        for endpoint in service.primary_candidates(now())[
-            :MAX_PRIMARIES_QUERIED
-        ]:
+        for endpoint in service.primary_candidates(
+            now(), self.leases.current(service.name)
+        )[:MAX_PRIMARIES_QUERIED]:
             connection = await endpoint.pool.acquire(
                 0, BARRIER_TIMEOUT_S, {}, None
             )
@@ -107,7 +116,10 @@
                 continue
             failure = failure_from(replies[0])
             if failure is None:
-                service.record_primary(endpoint, replies[0].position, sent_at)
+                if self.leases.holds(service.name, epoch, sent_at):
+                    service.record_primary(
+                        endpoint, replies[0].position, sent_at
+                    )
                 return None
             if failure.kind is ErrorKind.ENDPOINT_READ_ONLY:
                 service.record_not_primary(endpoint)
--- /dev/null
+++ b/chivescale/relay/_term_leases.py
@@ -0,0 +1,198 @@
+"""Leases on primaries, as used by the statements of an entry host."""
+
+import asyncio
+import typing
+
+from chivescale.clock import now
+from chivescale.errors import ErrorKind, Failure
+from chivescale.lease import Epoch, LeaseAnswer, LeaseHolder
+from chivescale.telemetry import COUNTERS, log_decision, log_event
+
+# Epoch index of statements on endpoints that need no lease.
+UNLEASED = -1
+# While an epoch is replaced, writes already sent to a primary that works have
+# this long to finish; otherwise they take this long at most to fail.
+PLANNED_DRAIN_S = 0.25
+UNPLANNED_DRAIN_S = 0.05
+
+
+class TermLeases:
+    """Leases of an entry host and the statements that wait for them.
+
+    Attributes
+    ----------
+    holder : LeaseHolder
+        Epochs and grants.
+    changed : asyncio.Event
+        Set when grants arrive; replaced by a new event each time.
+    in_flight : dict of str to int
+        Writes by service that were sent under a lease and not answered yet.
+    """
+
+    def __init__(self):
+        self.holder = LeaseHolder()
+        self.changed = asyncio.Event()
+        self.idle = asyncio.Event()
+        self.in_flight: dict[str, int] = {}
+
+    def apply(self, answer: LeaseAnswer, sent_at: float) -> None:
+        """Apply epochs and grants from a coordinator."""
+        time = now()
+        self.holder.apply(answer, sent_at, time)
+        for service, retired in self.holder.retired.items():
+            if service in answer.epochs:
+                self._log_retired(service, retired, time)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def _log_retired(self, service: str, retired, time: float) -> None:
+        epoch = self.holder.epoch(service)
+        log_event(
+            "epoch_began",
+            service=service,
+            index=epoch.index,
+            endpoint=epoch.endpoint,
+            planned=epoch.planned,
+            former=retired.index,
+            former_lease_s=max(0.0, retired.until - time),
+            writes=self.in_flight.get(service, 0),
+        )
+
+    def covers(self, services: typing.Iterable[str], time: float) -> bool:
+        """Return whether leases on all services are held until `time`."""
+        return all(self.holder.held_until(name) > time for name in services)
+
+    async def confirm(self) -> int:
+        """Stop using replaced epochs, after the writes sent under them.
+
+        Returns
+        -------
+        int
+            Epoch index to report to the coordinators.
+        """
+        retired = self.holder.retired
+        if retired:
+            planned = any(epoch.planned for epoch in retired.values())
+            deadline = now() + (
+                PLANNED_DRAIN_S if planned else UNPLANNED_DRAIN_S
+            )
+            while any(self.in_flight.get(name) for name in retired):
+                self.idle.clear()
+                try:
+                    async with asyncio.timeout(max(0.0, deadline - now())):
+                        await self.idle.wait()
+                except TimeoutError:
+                    break
+        return self.holder.confirm()
+
+    # Statements.
+
+    def current(self, service: str) -> Epoch:
+        """Return the current epoch of a service."""
+        return self.holder.epoch(service)
+
+    def holds(self, service: str, index: int, time: float) -> bool:
+        """Return whether the lease on an epoch covers `time`."""
+        return self.holder.holds(service, index, time)
+
+    async def acquire(self, service: str, wait_s: float) -> int | Failure:
+        """Return the index of the current epoch once a lease on it is held.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        wait_s : float
+            Maximum wait in seconds.
+
+        Returns
+        -------
+        int or Failure
+            ``NO_PRIMARY`` if there is no lease in time.
+        """
+        deadline = now() + wait_s
+        while True:
+            index = self.current(service).index
+            if self.holds(service, index, now()):
+                return index
+            if not await self._wait_for_change(deadline):
+                return self._no_lease_failure(service, index)
+
+    async def verify(
+        self, service: str, index: int, wait_s: float
+    ) -> Failure | None:
+        """Return None once the lease on an epoch is held at this moment.
+
+        A lease that was renewed after a gap is as good as one without: no
+        later epoch began meanwhile.
+        """
+        deadline = now() + wait_s
+        while not self.holds(service, index, now()):
+            if self.current(service).index != index or (
+                not await self._wait_for_change(deadline)
+            ):
+                return self._no_lease_failure(service, index)
+        return None
+
+    async def _wait_for_change(self, deadline: float) -> bool:
+        left_s = deadline - now()
+        if left_s <= 0:
+            return False
+        try:
+            async with asyncio.timeout(left_s):
+                await self.changed.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    def _no_lease_failure(self, service: str, index: int) -> Failure:
+        epoch = self.current(service)
+        age_s = now() - self.holder.held_until(service)
+        if epoch.index != index:
+            cause = f"epoch {epoch.index} of {epoch.endpoint} began"
+        elif self.holder.held_until(service):
+            cause = f"it expired {age_s:.3f} s ago"
+        else:
+            cause = "no majority of the coordinators has granted it"
+        reason = f"no lease on epoch {index} of {service}: {cause}"
+        COUNTERS.count("lease_missing", service)
+        log_decision("lease_missing", reason=reason)
+        return Failure(ErrorKind.NO_PRIMARY, reason)
+
+    def begin_write(self, service: str) -> None:
+        """Count a write that is about to be sent."""
+        self.in_flight[service] = self.in_flight.get(service, 0) + 1
+
+    def end_write(self, service: str) -> None:
+        """Count the answer to a write, or its failure."""
+        self.in_flight[service] -= 1
+        if not self.in_flight[service]:
+            self.idle.set()
+
+
+class Unleased:
+    """Stands for leases where endpoints refuse writes by themselves."""
+
+    def current(self, service: str) -> Epoch | None:
+        """Return None: the claims of the endpoints count."""
+        return None
+
+    def holds(self, service: str, index: int, time: float) -> bool:
+        """Return True."""
+        return True
+
+    async def acquire(self, service: str, wait_s: float) -> int | Failure:
+        """Return at once."""
+        return UNLEASED
+
+    async def verify(
+        self, service: str, index: int, wait_s: float
+    ) -> Failure | None:
+        """Return at once."""
+        return None
+
+    def begin_write(self, service: str) -> None:
+        """Do nothing."""
+
+    def end_write(self, service: str) -> None:
+        """Do nothing."""
--- a/chivescale/relay/_transaction.py
+++ b/chivescale/relay/_transaction.py
@@ -24,8 +24,9 @@
     service, endpoint, connection : Service, Endpoint, Link, or None
         Where the transaction runs. Set by the first statement that needs an
         endpoint.
-    on_primary : bool
-        Whether it was begun as a transaction that only a primary accepts.
+    epoch : int or None
+        Epoch under which it was begun as a transaction that only a primary
+        accepts; None if any endpoint accepts it.
     wrote : bool
         Whether a write was sent.
     peer : GatewayClient or None
@@ -44,7 +45,7 @@
     service: Service | None = None
     endpoint: Endpoint | None = None
     connection: Link | None = None
-    on_primary: bool = False
+    epoch: int | None = None
     wrote: bool = False
     peer: GatewayClient | None = None
     gateway_transaction_id: int = 0
@@ -56,12 +57,12 @@
         service: Service,
         endpoint: Endpoint,
         connection: Link,
-        on_primary: bool,
+        epoch: int | None,
     ) -> None:
         """Record where the transaction was begun."""
         self.service = service
         self.endpoint, self.connection = endpoint, connection
-        self.on_primary = on_primary
+        self.epoch = epoch
 
     def stop_timer(self) -> None:
         """Cancel the idle timeout."""
