Share confirmations of revoked leases and shorten the grants

Hosts that had turned to another coordinator confirmed only there, and the former one waited for its grants to expire; hosts in a zone that was cut off held grants that began at the end of a long poll.

Change: coordinators tell the leader which hosts have confirmed and how long the other grants last, and the leader puts both together. A grant lasts 1.1 s and a host with leases polls every 0.35 s. The leader logs for whom a promotion waits.

--- a/chivescale/coordinator/_leases.py
+++ b/chivescale/coordinator/_leases.py
@@ -21,6 +21,7 @@
     LeaseAnswer,
     RevocationStatus,
     is_revoked,
+    unconfirmed_hosts,
 )
 from chivescale.messages import NO_LEASES, WatchRequest, decode
 from chivescale.telemetry import COUNTERS, log_event
@@ -30,9 +31,11 @@
 # A coordinator that does not answer within this time is asked again.
 CALL_TIMEOUT_S = 0.3
 # Time for which an order to revoke waits for the entry hosts to confirm.
-REVOKE_WAIT_S = 0.2
+REVOKE_WAIT_S = 0.03
 RETRY_DELAY_S = 0.02
-CHECK_INTERVAL_S = 0.05
+CHECK_INTERVAL_S = 0.01
+# Interval at which the leader logs for which hosts a promotion waits.
+LOG_INTERVAL_S = 0.25
 
 
 class LeaseManager:
@@ -190,11 +193,11 @@
         while True:
             status = self._status(request)
             left_s = deadline - now()
-            if status.cleared or left_s <= 0:
+            if left_s <= 0 or (status.withdrawn and not status.unconfirmed_s):
                 return status
             self.confirmed.clear()
             try:
-                async with asyncio.timeout(min(left_s, RETRY_DELAY_S)):
+                async with asyncio.timeout(min(left_s, CHECK_INTERVAL_S)):
                     await self.confirmed.wait()
             except TimeoutError:
                 continue
@@ -218,7 +221,7 @@
         status = self.grantor.status(index, now())
         if in_log or machine.applied >= index:
             return status
-        return RevocationStatus(False, status.passed_s)
+        return RevocationStatus(False)
 
     # Leader.
 
@@ -230,7 +233,7 @@
         index : int
             Log index of a promotion that this host applied as leader.
         """
-        started_at = now()
+        started_at = logged_at = now()
         term = self.host.agreement.machine.log.term_at(index)
         request = RevokeRequest(index, term or 0)
         statuses: dict[str, tuple[float, RevocationStatus]] = {}
@@ -244,6 +247,9 @@
         try:
             while not self._all_revoked(statuses):
                 changed.clear()
+                if now() > logged_at + LOG_INTERVAL_S:
+                    logged_at = now()
+                    self._log_awaited(index, statuses)
                 try:
                     async with asyncio.timeout(CHECK_INTERVAL_S):
                         await changed.wait()
@@ -258,7 +264,25 @@
             "leases_revoked",
             index=index,
             duration_s=waited_s,
-            members=",".join(m for m, (_, s) in statuses.items() if s.cleared),
+            members=",".join(statuses),
+        )
+
+    def _log_awaited(self, index: int, statuses) -> None:
+        """Log for which coordinators and entry hosts a promotion waits."""
+        confirmed = {h for _, s in statuses.values() for h in s.confirmed}
+        awaited = {
+            host
+            for received_at, status in statuses.values()
+            for host in unconfirmed_hosts(
+                received_at, status, confirmed, now()
+            )
+        }
+        silent = set(self._voters()) - statuses.keys()
+        log_event(
+            "leases_awaited",
+            index=index,
+            hosts=",".join(sorted(awaited)),
+            coordinators=",".join(sorted(silent)),
         )
 
     def _all_revoked(self, statuses) -> bool:
@@ -295,10 +319,6 @@
             if not is_failure(status):
                 statuses[member] = (now(), status)
                 changed.set()
-                if status.cleared:
+                if status.withdrawn and not status.unconfirmed_s:
                     return
             await asyncio.sleep(RETRY_DELAY_S)
-
-    def unconfirmed_hosts(self, index: int) -> list[str]:
-        """Return the hosts for which this coordinator waits."""
-        return self.grantor.unconfirmed(index, now())
--- a/chivescale/coordinator/_promoter.py
+++ b/chivescale/coordinator/_promoter.py
@@ -400,7 +400,6 @@
             endpoint=watched.endpoint,
             index=index,
             demoted=demotion.done() and not demotion.cancelled(),
-            waiting_for=",".join(self.host.leases.unconfirmed_hosts(index)),
             duration_s=now() - started,
         )
         if not dead:
--- a/chivescale/lease/__init__.py
+++ b/chivescale/lease/__init__.py
@@ -16,7 +16,7 @@
     LeaseAnswer,
     RevocationStatus,
 )
-from chivescale.lease._revocation import is_revoked
+from chivescale.lease._revocation import is_revoked, unconfirmed_hosts
 
 __all__ = [
     "GRANT_S",
@@ -29,4 +29,5 @@
     "LeaseHolder",
     "RevocationStatus",
     "is_revoked",
+    "unconfirmed_hosts",
 ]
--- a/chivescale/lease/_grantor.py
+++ b/chivescale/lease/_grantor.py
@@ -13,9 +13,10 @@
     RevocationStatus,
 )
 
-# Duration of a grant. It exceeds the long poll of an entry host (0.7 s) plus
-# the time to detect that a coordinator is silent and to ask another one.
-GRANT_S = 1.8
+# Duration of a grant. It exceeds the long poll of an entry host (0.35 s) plus
+# the time to detect that a coordinator is silent and to ask another one
+# (0.35 s). A promotion waits for this time if a host cannot confirm.
+GRANT_S = 1.1
 
 
 class GroupView(msgspec.Struct, frozen=True):
@@ -83,19 +84,13 @@
         Time at which the last grant to each other coordinator ends.
     received : dict of str to ReceivedGrant
         Latest grant of each other coordinator.
-    granted, revoked, expired : int
-        Number of grants to hosts, of revocations that hosts confirmed, and of
-        grants that ended without a confirmation while one was awaited.
     """
 
     __slots__ = (
-        "expired",
-        "granted",
         "hosts",
         "member",
         "peers",
         "received",
-        "revoked",
         "started_at",
         "table",
     )
@@ -107,7 +102,6 @@
         self.hosts: dict[str, HostGrant] = {}
         self.peers: dict[str, float] = {}
         self.received: dict[str, ReceivedGrant] = {}
-        self.granted = self.revoked = self.expired = 0
 
     def learn(self, epochs: collections.abc.Mapping[str, Epoch]) -> None:
         """Merge committed epochs."""
@@ -119,10 +113,7 @@
         """Record that a host uses no epoch below `confirmed` any more."""
         known = self.hosts.get(host)
         if known is None:
-            self.hosts[host] = HostGrant(0.0, confirmed)
             return
-        if confirmed > known.confirmed:
-            self.revoked += 1
         known.confirmed = confirmed
 
     def release(self, host: str) -> None:
@@ -162,7 +153,6 @@
             known.until = max(
                 known.until, now + max(g.remaining_s for g in grants)
             )
-            self.granted += 1
         return LeaseAnswer(
             index=self.table.index,
             epochs=self.table.since(confirmed),
@@ -227,7 +217,7 @@
     # Revocation.
 
     def status(self, index: int, now: float) -> RevocationStatus:
-        """Return whether grants may support epochs below `index`.
+        """Return which grants may support epochs below `index`.
 
         Parameters
         ----------
@@ -236,27 +226,29 @@
         now : float
             Current time in seconds.
         """
-        for name, grant in list(self.hosts.items()):
-            if grant.until <= now:
-                self.expired += 0 < grant.until and grant.confirmed < index
-                del self.hosts[name]
-        cleared = (
+        self._drop_ended(now)
+        withdrawn = (
             self.table.index >= index
             # Grants made before a restart are not known.
             and now >= self.started_at + GRANT_S
-            and not self.unconfirmed(index, now)
         )
-        passed_s = {
-            peer: until - now
-            for peer, until in self.peers.items()
-            if until > now
+        unconfirmed_s = {
+            name: grant.until - now
+            for name, grant in self.hosts.items()
+            if grant.confirmed < index
         }
-        return RevocationStatus(cleared, passed_s)
-
-    def unconfirmed(self, index: int, now: float) -> list[str]:
-        """Return the hosts that may still use an epoch below `index`."""
-        return [
+        confirmed = tuple(
             name
             for name, grant in self.hosts.items()
-            if grant.until > now and grant.confirmed < index
-        ]
+            if grant.confirmed >= index
+        )
+        passed_s = {peer: until - now for peer, until in self.peers.items()}
+        return RevocationStatus(withdrawn, unconfirmed_s, confirmed, passed_s)
+
+    def _drop_ended(self, now: float) -> None:
+        for name, grant in list(self.hosts.items()):
+            if grant.until <= now:
+                del self.hosts[name]
+        for peer, until in list(self.peers.items()):
+            if until <= now:
+                del self.peers[peer]
--- a/chivescale/lease/_messages.py
+++ b/chivescale/lease/_messages.py
@@ -80,16 +80,23 @@
 
 
 class RevocationStatus(msgspec.Struct, frozen=True):
-    """Whether grants of one coordinator may still support older epochs.
+    """What one coordinator knows about grants on epochs that ended.
 
     Attributes
     ----------
-    cleared : bool
-        Whether no entry host holds a grant on an older epoch directly from
-        this coordinator, nor will get one.
+    withdrawn : bool
+        Whether this coordinator makes no more grants on these epochs and
+        knows all that it made.
+    unconfirmed_s : dict of str to float
+        Remaining time of the grants to entry hosts that have not confirmed.
+    confirmed : tuple of str
+        Entry hosts that use none of these epochs any more, whoever granted
+        them.
     passed_s : dict of str to float
         Remaining time of the grants that other coordinators may pass on.
     """
 
-    cleared: bool
+    withdrawn: bool
+    unconfirmed_s: dict[str, float] = {}
+    confirmed: tuple[str, ...] = ()
     passed_s: dict[str, float] = {}
--- a/chivescale/relay/_coordinator_watcher.py
+++ b/chivescale/relay/_coordinator_watcher.py
@@ -22,12 +22,16 @@
 LONG_POLL_MS = 700
 # Time allowed for the response in addition to the hold time.
 LONG_POLL_MARGIN_S = 0.4
+# The same for a host that needs leases, which have to be renewed in time even
+# if a coordinator has become silent.
+LEASE_POLL_MS = 350
+LEASE_POLL_MARGIN_S = 0.25
 # A coordinator without contact to a quorum for longer than this may not know
 # the configuration in force; another one is used.
 MAX_COORDINATOR_STALENESS_S = 0.5
 RETRY_DELAY_S = 0.1
 # A lease that ends sooner than this needs further grants at once.
-MIN_LEASE_S = 0.9
+MIN_LEASE_S = 0.45
 # Minimum interval between attempts to return to the coordinator of the own
 # zone.
 SAME_ZONE_RETRY_S = 5.0
@@ -114,6 +118,11 @@
 
     async def _poll(self, address: str, lease_index: int):
         catalog, settings = self.host.catalog, self.host.settings
+        wait_ms, margin_s = LONG_POLL_MS, LONG_POLL_MARGIN_S
+        if self.host.leases is not None:
+            wait_ms, margin_s = LEASE_POLL_MS, LEASE_POLL_MARGIN_S
+        if not self.long_poll:
+            wait_ms = 0
         request = WatchRequest(
             host=EntryHostRecord(
                 settings.name, settings.zone, settings.gateway_address
@@ -124,7 +133,7 @@
             revision=self.revision,
             version=catalog.version if catalog else -1,
             suspects=self.suspects,
-            wait_ms=LONG_POLL_MS if self.long_poll else 0,
+            wait_ms=wait_ms,
             lease_index=lease_index,
         )
         return await self.host.http_client.call(
@@ -133,8 +142,7 @@
             "/v1/watch",
             WatchAnswer,
             request,
-            timeout_s=(LONG_POLL_MS / 1000 if self.long_poll else 0)
-            + LONG_POLL_MARGIN_S,
+            timeout_s=wait_ms / 1000 + margin_s,
         )
 
     async def release_leases(self) -> None:
