Forward statements if an endpoint accepts no more connections

Change: such a statement, or the begin of a transaction, is forwarded to another host that connects to the service; hosts that refuse for the same reason are avoided for 0.4 s.

Also: the age of a proof that does not exist was sent between hosts as infinity, which JSON encodes as null. Only ages of real proofs are sent now.

--- a/chivescale/relay/_executor.py
+++ b/chivescale/relay/_executor.py
@@ -206,10 +206,14 @@
     ) -> Outcome:
         """Read on the primary when no recent position is confirmed."""
         outcome = await self._read_on_primary(service, request)
-        if is_failure(outcome) and outcome.kind in NOT_EXECUTED | {
-            ErrorKind.NO_PRIMARY
-        }:
-            request.proof_age_s = service.confirmed.age_s(request.arrived_at)
+        if not is_failure(outcome) or outcome.kind is ErrorKind.ENDPOINT_FULL:
+            return outcome
+        if outcome.kind in NOT_EXECUTED | {ErrorKind.NO_PRIMARY}:
+            if service.confirmed.position is not None:
+                # JSON has no infinity; the age travels between hosts.
+                request.proof_age_s = service.confirmed.age_s(
+                    request.arrived_at
+                )
             reason = f"{cause.reason}; primary: {outcome.reason}"
             return Failure(ErrorKind.FRESHNESS_UNPROVED, reason)
         return outcome
--- a/chivescale/relay/_forwarder.py
+++ b/chivescale/relay/_forwarder.py
@@ -21,6 +21,12 @@
 
 # Maximum number of gateways tried for one statement.
 MAX_GATEWAYS = 3
+# Maximum number of other hosts tried if an endpoint accepts no connection of
+# this host. Those without a connection refuse at once.
+MAX_CONNECTED_HOSTS = 6
+# A gateway that had no connection to an endpoint of a service is avoided for
+# this time.
+FULL_BACKOFF_S = 0.4
 # Gateways enforce the time limit of a statement themselves; this is the time
 # allowed for the response to arrive after that.
 RESPONSE_MARGIN_S = 0.1
@@ -62,6 +68,9 @@
         Clients of other hosts by name.
     departed : list of GatewayClient
         Clients of removed gateways whose connections are still open.
+    full_until : dict of (str, str) to float
+        Time until which a gateway is avoided for a service, because it had
+        no connection.
     """
 
     def __init__(
@@ -78,6 +87,7 @@
         self.gateways: dict[str, frozenset[str]] = {}
         self.peers: dict[str, GatewayClient] = {}
         self.departed: list[GatewayClient] = []
+        self.full_until: dict[tuple[str, str], float] = {}
         self.hedged_reads = HedgedReads()
 
     def update(
@@ -136,6 +146,7 @@
             if name not in excluded
             and (peer := self.peers.get(name)) is not None
             and peer.usable
+            and self.full_until.get((name, service), 0.0) <= time
         ]
         return min(costs)[2] if costs else None
 
@@ -169,16 +180,36 @@
     async def run_single(self, request: StatementRequest) -> Outcome:
         """Run a statement outside a transaction."""
         service = request.route.service
+        refusal = None
         if self.serves(service):
-            return await self.local_executor.run_single(request)
-        if request.writes:
-            return await self._write(service, request)
-        return await self._read(service, request)
+            outcome = await self.local_executor.run_single(request)
+            if not self._lacks_connections(service, outcome):
+                return outcome
+            refusal = outcome
+        forward = self._write if request.writes else self._read
+        return await forward(service, request, refusal)
+
+    def _lacks_connections(self, service: str, outcome: Outcome) -> bool:
+        """Return whether another host may have the connection that lacks.
+
+        After a power failure of many hosts, an endpoint counts their dead
+        connections for seconds, so that only some hosts get new ones.
+        """
+        if not is_failure(outcome):
+            return False
+        others = len(self.gateways.get(service, ())) > 1
+        return outcome.kind is ErrorKind.ENDPOINT_FULL and others
 
-    async def _write(self, service: str, request: StatementRequest) -> Outcome:
+    async def _write(
+        self,
+        service: str,
+        request: StatementRequest,
+        refusal: Failure | None,
+    ) -> Outcome:
         excluded: set[str] = set()
-        failure = _no_gateway_failure(service)
-        while len(excluded) < MAX_GATEWAYS and not request.expired():
+        failure = refusal or _no_gateway_failure(service)
+        limit = MAX_CONNECTED_HOSTS if refusal else MAX_GATEWAYS
+        while len(excluded) < limit and not request.expired():
             peer = self.choose_gateway(service, excluded)
             if peer is None:
                 break
@@ -191,13 +222,19 @@
             failure = outcome
         return failure
 
-    async def _read(self, service: str, request: StatementRequest) -> Outcome:
+    async def _read(
+        self,
+        service: str,
+        request: StatementRequest,
+        refusal: Failure | None,
+    ) -> Outcome:
         """Run a read on a gateway, with retries and hedging."""
         self.hedged_reads.hedge_budget.record_request()
         excluded: set[str] = set()
+        limit = MAX_CONNECTED_HOSTS if refusal else MAX_GATEWAYS
 
         def next_candidate() -> GatewayClient | None:
-            if len(excluded) >= MAX_GATEWAYS or request.expired():
+            if len(excluded) >= limit or request.expired():
                 return None
             return self.choose_gateway(service, excluded)
 
@@ -213,7 +250,7 @@
             start_attempt,
             _is_retryable,
             on_exhausted,
-            _no_gateway_failure(service),
+            refusal or _no_gateway_failure(service),
         )
 
     # Transactions.
@@ -223,9 +260,13 @@
     ) -> Outcome:
         """Run a statement of an open transaction."""
         if transaction.peer is None and self._runs_locally(transaction):
-            return await self.local_executor.run_in_transaction(
+            outcome = await self.local_executor.run_in_transaction(
                 transaction, request
             )
+            begun = transaction.endpoint is not None
+            service = transaction.route.service
+            if begun or not self._lacks_connections(service, outcome):
+                return outcome
         transaction.wrote = transaction.wrote or request.writes
         outcome = await self._run_on_gateway(transaction, request)
         if is_failure(outcome):
@@ -305,6 +346,9 @@
         response = await peer.run(message, remaining_s + RESPONSE_MARGIN_S)
         if is_failure(response):
             return response
+        if response.kind is ErrorKind.ENDPOINT_FULL:
+            key = (peer.name, request.route.service)
+            self.full_until[key] = now() + FULL_BACKOFF_S
         return _apply_response(request, response)
 
 
