Forward statements without a lease and keep the values of a read

Change: the failure kind NO_LEASE; such statements go to other hosts as those without a connection do. A request carries the values it was sent with, and an attempt that is no longer needed does not run. Writes in flight are counted by epoch, so that a host confirms a revocation without waiting for writes of the next epoch. A former primary that comes back and still claims to be primary is demoted.

--- a/chivescale/coordinator/_promoter.py
+++ b/chivescale/coordinator/_promoter.py
@@ -1,6 +1,7 @@
 """Monitors and replaces primaries while this host leads."""
 
 import asyncio
+import math
 
 import msgspec
 
@@ -34,6 +35,8 @@
 RETRY_DELAY_S = 0.2
 # Endpoints send heartbeats every 1.2 s, so a primary is known after three.
 NO_PRIMARY_TIMEOUT_S = 4.0
+# Interval at which a former primary that still claims to be primary is told.
+DEMOTION_INTERVAL_S = 1.0
 # In a handover, entry hosts have this long to finish their writes on the
 # former primary before it is demoted.
 HANDOVER_WAIT_S = 0.5
@@ -80,6 +83,7 @@
         self.watched: dict[str, WatchedPrimary] = {}
         self.links: dict[str, Link] = {}
         self.no_primary_since: dict[str, float] = {}
+        self.demoted_at: dict[str, float] = {}
         self.task: asyncio.Task | None = None
 
     def begin(self) -> None:
@@ -124,6 +128,7 @@
             _cancel_tasks(self.watched.pop(service))
         suspects = []
         for service in services:
+            self._demote_former_primaries(service)
             watched = self._watch_primary(service)
             if watched is None:
                 continue
@@ -138,6 +143,30 @@
                 )
         self.host.distributor.share_suspects(tuple(sorted(suspects)))
 
+    def _demote_former_primaries(self, service: str) -> None:
+        """Demote endpoints that have not noticed that they were replaced.
+
+        One that everybody had lost when its successor was promoted serves on
+        when it is reachable again.
+        """
+        epoch = self.host.leases.epoch(service)
+        watched = self.watched.get(service)
+        if not epoch.index or (
+            watched is not None and watched.replacement is not None
+        ):
+            return
+        time = now()
+        for entry in self.host.registry.service_endpoints(service):
+            name = entry.heartbeat.endpoint
+            last = self.demoted_at.get(name, -math.inf)
+            if (
+                entry.primary_since
+                and name != epoch.endpoint
+                and time - last >= DEMOTION_INTERVAL_S
+            ):
+                self.demoted_at[name] = time
+                self.host.run_in_background(self._demote(service, name))
+
     def _service_names(self) -> list[str]:
         catalog = self.host.state.catalog.catalog
         return [s.name for s in catalog.services] if catalog else []
@@ -542,10 +571,12 @@
 
         Its last commits are replicated afterwards.
         """
-        state = await self._query_state(
-            watched.endpoint, self.dialect.state_text()
-        )
-        link = self.links.get(watched.endpoint)
+        return await self._demote(watched.service, watched.endpoint)
+
+    async def _demote(self, service: str, endpoint: str) -> bool:
+        """Demote an endpoint; return whether it is not a primary."""
+        state = await self._query_state(endpoint, self.dialect.state_text())
+        link = self.links.get(endpoint)
         if state is None or link is None:
             return False
         if not state.primary:
@@ -555,8 +586,8 @@
         refusal = None if is_failure(reply) else reply.refusal
         log_event(
             "primary_demoted",
-            service=watched.service,
-            endpoint=watched.endpoint,
+            service=service,
+            endpoint=endpoint,
             term=state.term,
             outcome=(
                 reply.reason
--- a/chivescale/errors/_kinds.py
+++ b/chivescale/errors/_kinds.py
@@ -22,6 +22,7 @@
     SHUTTING_DOWN = "shutting_down"
     WORKSPACE_REMOVED = "workspace_removed"
     NO_PRIMARY = "no_primary"
+    NO_LEASE = "no_lease"
     NO_QUORUM = "no_quorum"
     FRESHNESS_UNPROVED = "freshness_unproved"
     DID_NOT_RUN = "did_not_run"
@@ -101,6 +102,7 @@
     ErrorKind.SHUTTING_DOWN: _row(1053, "08S01", 503, retry=True),
     ErrorKind.WORKSPACE_REMOVED: _row(1045, "28000", 403),
     ErrorKind.NO_PRIMARY: _row(1290, "HY000", 503, retry=True),
+    ErrorKind.NO_LEASE: _row(1290, "HY000", 503, retry=True),
     ErrorKind.NO_QUORUM: _row(1290, "HY000", 503, retry=True),
     ErrorKind.FRESHNESS_UNPROVED: _row(1290, "HY000", 503, retry=True),
     ErrorKind.DID_NOT_RUN: _row(1213, "40001", 503, retry=True),
--- a/chivescale/relay/_executor.py
+++ b/chivescale/relay/_executor.py
@@ -20,6 +20,7 @@
 from chivescale.relay._hedging import HedgedReads
 from chivescale.relay._outcomes import (
     NOT_EXECUTED,
+    SERVED_ELSEWHERE,
     as_aborted,
     as_not_sent,
     as_write_failure,
@@ -206,7 +207,7 @@
     ) -> Outcome:
         """Read on the primary when no recent position is confirmed."""
         outcome = await self._read_on_primary(service, request)
-        if not is_failure(outcome) or outcome.kind is ErrorKind.ENDPOINT_FULL:
+        if not is_failure(outcome) or outcome.kind in SERVED_ELSEWHERE:
             return outcome
         if outcome.kind in NOT_EXECUTED | {ErrorKind.NO_PRIMARY}:
             if service.confirmed.position is not None:
@@ -256,13 +257,15 @@
                 return None
             return request.expired() or failure
 
-        return await self.hedged_reads.first_result(
+        outcome = await self.hedged_reads.first_result(
             next_candidate,
             start_attempt,
             is_retryable_read,
             on_exhausted,
             no_endpoint_failure(service.name),
         )
+        request.answered = not is_failure(outcome)
+        return outcome
 
     async def _read_once(
         self,
@@ -273,6 +276,10 @@
         connection = await self._acquire(endpoint, request)
         if is_failure(connection):
             return connection
+        if request.answered:
+            self.releaser.release(endpoint, connection)
+            reason = "answered by another attempt"
+            return Failure(ErrorKind.DEADLINE_NOT_STARTED, reason)
         outcome = await self._run(
             endpoint, connection, request, after=min_position
         )
@@ -499,7 +506,7 @@
         Without the lease, another endpoint may have become primary before
         the write was committed, and its log may lack the write.
         """
-        self.leases.begin_write(service.name)
+        self.leases.begin_write(service.name, epoch)
         try:
             outcome = await self._run(endpoint, connection, request)
             if is_failure(outcome):
@@ -508,7 +515,7 @@
                 service.name, epoch, request.remaining_s(now())
             )
         finally:
-            self.leases.end_write(service.name)
+            self.leases.end_write(service.name, epoch)
         if failure is not None:
             return Failure(ErrorKind.OUTCOME_UNKNOWN, failure.reason)
         return outcome
@@ -518,12 +525,11 @@
     async def _acquire(
         self, endpoint: Endpoint, request: StatementRequest
     ) -> Link | Failure:
-        session = request.session
         return await endpoint.pool.acquire(
             request.route.priority,
             request.connection_wait_s(now()),
-            session.values,
-            session,
+            request.values,
+            request.session,
         )
 
     async def _acquire_and_begin(
@@ -550,9 +556,7 @@
                 self.releaser.release(endpoint, connection)
                 return failure
         begin = connection.dialect.begin_text(epoch is None, after)
-        required = RequiredState(
-            request.session.values, request.definition, begin
-        )
+        required = RequiredState(request.values, request.definition, begin)
         sent_at = now()
         begun = await prepare_connection(
             connection, required, PREPARE_TIMEOUT_S
@@ -581,15 +585,14 @@
         after: Position | None = None,
     ) -> Outcome:
         """Run the client's statement on a connection."""
-        session = request.session
-        required = RequiredState(session.values, request.definition)
+        required = RequiredState(request.values, request.definition)
         failure = await prepare_connection(
             connection, required, PREPARE_TIMEOUT_S
         )
         if is_failure(failure):
             suspect_on_timeout(endpoint, failure)
             return as_not_sent(failure)
-        connection.last_session = session
+        connection.last_session = request.session
         text = forwarded_text(
             connection, request.statement, request.definition
         )
--- a/chivescale/relay/_forwarder.py
+++ b/chivescale/relay/_forwarder.py
@@ -10,7 +10,11 @@
 from chivescale.messages import EntryHostRecord
 from chivescale.relay._executor import Executor
 from chivescale.relay._hedging import HedgedReads
-from chivescale.relay._outcomes import as_aborted, as_write_failure
+from chivescale.relay._outcomes import (
+    SERVED_ELSEWHERE,
+    as_aborted,
+    as_write_failure,
+)
 from chivescale.relay._request import (
     MIN_ATTEMPT_TIME_S,
     Outcome,
@@ -21,12 +25,12 @@
 
 # Maximum number of gateways tried for one statement.
 MAX_GATEWAYS = 3
-# Maximum number of other hosts tried if an endpoint accepts no connection of
-# this host. Those without a connection refuse at once.
-MAX_CONNECTED_HOSTS = 6
-# A gateway that had no connection to an endpoint of a service is avoided for
+# Maximum number of other hosts tried if this host lacks a connection or a
+# lease. Those that lack it too refuse at once.
+MAX_OTHER_HOSTS = 6
+# A gateway that lacked a connection or a lease for a service is avoided for
 # this time.
-FULL_BACKOFF_S = 0.4
+UNABLE_BACKOFF_S = 0.4
 # Gateways enforce the time limit of a statement themselves; this is the time
 # allowed for the response to arrive after that.
 RESPONSE_MARGIN_S = 0.1
@@ -41,7 +45,7 @@
 # Failures of a gateway after which another gateway may be tried.
 RETRYABLE_KINDS = frozenset(
     {
-        ErrorKind.ENDPOINT_FULL,
+        *SERVED_ELSEWHERE,
         ErrorKind.SHUTTING_DOWN,
         ErrorKind.UNREACHABLE,
     }
@@ -68,9 +72,9 @@
         Clients of other hosts by name.
     departed : list of GatewayClient
         Clients of removed gateways whose connections are still open.
-    full_until : dict of (str, str) to float
-        Time until which a gateway is avoided for a service, because it had
-        no connection.
+    unable_until : dict of (str, str) to float
+        Time until which a gateway is avoided for a service, because it
+        lacked a connection or a lease.
     """
 
     def __init__(
@@ -87,7 +91,7 @@
         self.gateways: dict[str, frozenset[str]] = {}
         self.peers: dict[str, GatewayClient] = {}
         self.departed: list[GatewayClient] = []
-        self.full_until: dict[tuple[str, str], float] = {}
+        self.unable_until: dict[tuple[str, str], float] = {}
         self.hedged_reads = HedgedReads()
 
     def update(
@@ -146,7 +150,7 @@
             if name not in excluded
             and (peer := self.peers.get(name)) is not None
             and peer.usable
-            and self.full_until.get((name, service), 0.0) <= time
+            and self.unable_until.get((name, service), 0.0) <= time
         ]
         return min(costs)[2] if costs else None
 
@@ -183,22 +187,23 @@
         refusal = None
         if self.serves(service):
             outcome = await self.local_executor.run_single(request)
-            if not self._lacks_connections(service, outcome):
+            if not self._may_be_served_elsewhere(service, outcome):
                 return outcome
             refusal = outcome
         forward = self._write if request.writes else self._read
         return await forward(service, request, refusal)
 
-    def _lacks_connections(self, service: str, outcome: Outcome) -> bool:
-        """Return whether another host may have the connection that lacks.
+    def _may_be_served_elsewhere(self, service: str, outcome: Outcome) -> bool:
+        """Return whether another host may be able to run the statement.
 
         After a power failure of many hosts, an endpoint counts their dead
-        connections for seconds, so that only some hosts get new ones.
+        connections for seconds, so that only some hosts get new ones. A host
+        that has lost the coordinators has no lease, but others may have one.
         """
         if not is_failure(outcome):
             return False
         others = len(self.gateways.get(service, ())) > 1
-        return outcome.kind is ErrorKind.ENDPOINT_FULL and others
+        return outcome.kind in SERVED_ELSEWHERE and others
 
     async def _write(
         self,
@@ -208,7 +213,7 @@
     ) -> Outcome:
         excluded: set[str] = set()
         failure = refusal or _no_gateway_failure(service)
-        limit = MAX_CONNECTED_HOSTS if refusal else MAX_GATEWAYS
+        limit = MAX_OTHER_HOSTS if refusal else MAX_GATEWAYS
         while len(excluded) < limit and not request.expired():
             peer = self.choose_gateway(service, excluded)
             if peer is None:
@@ -231,7 +236,7 @@
         """Run a read on a gateway, with retries and hedging."""
         self.hedged_reads.hedge_budget.record_request()
         excluded: set[str] = set()
-        limit = MAX_CONNECTED_HOSTS if refusal else MAX_GATEWAYS
+        limit = MAX_OTHER_HOSTS if refusal else MAX_GATEWAYS
 
         def next_candidate() -> GatewayClient | None:
             if len(excluded) >= limit or request.expired():
@@ -265,7 +270,7 @@
             )
             begun = transaction.endpoint is not None
             service = transaction.route.service
-            if begun or not self._lacks_connections(service, outcome):
+            if begun or not self._may_be_served_elsewhere(service, outcome):
                 return outcome
         transaction.wrote = transaction.wrote or request.writes
         outcome = await self._run_on_gateway(transaction, request)
@@ -346,9 +351,9 @@
         response = await peer.run(message, remaining_s + RESPONSE_MARGIN_S)
         if is_failure(response):
             return response
-        if response.kind is ErrorKind.ENDPOINT_FULL:
+        if response.kind in SERVED_ELSEWHERE:
             key = (peer.name, request.route.service)
-            self.full_until[key] = now() + FULL_BACKOFF_S
+            self.unable_until[key] = now() + UNABLE_BACKOFF_S
         return _apply_response(request, response)
 
 
@@ -380,7 +385,7 @@
         priority=route.priority,
         accepted_staleness_ms=route.accepted_staleness_ms,
         age_s=time - request.arrived_at,
-        values=session.values,
+        values=request.values,
         definition=(
             (definition.writes, definition.text) if definition else None
         ),
--- a/chivescale/relay/_gateway.py
+++ b/chivescale/relay/_gateway.py
@@ -36,8 +36,6 @@
 
     Attributes
     ----------
-    values : dict of str to str
-        Session variables.
     positions : dict of str to Position
         Position of the last commit of the session, by service.
     transaction : Transaction or None
@@ -46,10 +44,9 @@
         Position of the commit made by the statement.
     """
 
-    __slots__ = ("commit_position", "positions", "transaction", "values")
+    __slots__ = ("commit_position", "positions", "transaction")
 
     def __init__(self, message: RunRequest, transaction: Transaction | None):
-        self.values = message.values
         self.positions: dict[str, Position] = {}
         if message.session_position is not None:
             self.positions[message.service] = message.session_position
@@ -319,5 +316,6 @@
         now() - message.age_s,
         message.writes,
         session,
+        message.values,
         definition,
     )
--- a/chivescale/relay/_outcomes.py
+++ b/chivescale/relay/_outcomes.py
@@ -17,6 +17,11 @@
     }
 )
 
+# Failures for lack of something that another entry host may have: a
+# connection to the endpoint, or a lease on its epoch. The statement was not
+# executed.
+SERVED_ELSEWHERE = frozenset({ErrorKind.ENDPOINT_FULL, ErrorKind.NO_LEASE})
+
 
 def as_not_sent(failure: Failure) -> Failure:
     """Return the failure of a connection before the statement was sent."""
--- a/chivescale/relay/_request.py
+++ b/chivescale/relay/_request.py
@@ -33,6 +33,10 @@
         Prepared statement to execute.
     session : ClientSession or ForwardedSession
         Session that sent the statement.
+    values : dict of str to str
+        Variables of the session when it sent the statement. An attempt that
+        lost against a faster one may still run after the session has changed
+        them.
     attempts : int
         Number of execution attempts.
     endpoint : str
@@ -43,6 +47,8 @@
         Position that the log of the endpoint had to contain.
     proof_age_s : float
         Age of the confirmation of that position; negative without one.
+    answered : bool
+        Whether the outcome is known, so that no further attempt is needed.
     """
 
     statement: Statement
@@ -50,12 +56,14 @@
     arrived_at: float
     writes: bool
     session: object
+    values: dict[str, str]
     definition: PreparedStatement | None = None
     attempts: int = 0
     endpoint: str = ""
     gateway: str = ""
     min_position: Position | None = None
     proof_age_s: float = -1.0
+    answered: bool = False
 
     @property
     def abortable(self) -> bool:
--- a/chivescale/relay/_session.py
+++ b/chivescale/relay/_session.py
@@ -233,7 +233,8 @@
         ):
             reason = f"more than {MAX_SESSION_VALUES} session variables"
             return Failure(ErrorKind.BAD_REQUEST, reason)
-        self.values[statement.name] = statement.argument
+        # Running statements keep the mapping that they were sent with.
+        self.values = {**self.values, statement.name: statement.argument}
         return None
 
     def _prepare(self, statement: Statement) -> Failure | None:
@@ -274,7 +275,13 @@
                 return _unknown_statement_failure(statement.name)
             writes = definition.writes
         return StatementRequest(
-            statement, route, arrived_at, writes, self, definition
+            statement,
+            route,
+            arrived_at,
+            writes,
+            self,
+            self.values,
+            definition,
         )
 
     async def _run(self, statement: Statement, arrived_at: float) -> bytes:
--- a/chivescale/relay/_term_leases.py
+++ b/chivescale/relay/_term_leases.py
@@ -1,6 +1,7 @@
 """Leases on primaries, as used by the statements of an entry host."""
 
 import asyncio
+import collections
 import typing
 
 from chivescale.clock import now
@@ -14,6 +15,9 @@
 # this long to finish; otherwise they take this long at most to fail.
 PLANNED_DRAIN_S = 0.25
 UNPLANNED_DRAIN_S = 0.05
+# Grants arrive at least this often while a coordinator answers. Later, a
+# statement does not wait for a lease.
+GRANT_INTERVAL_S = 0.5
 
 
 class TermLeases:
@@ -25,19 +29,25 @@
         Epochs and grants.
     changed : asyncio.Event
         Set when grants arrive; replaced by a new event each time.
-    in_flight : dict of str to int
-        Writes by service that were sent under a lease and not answered yet.
+    in_flight : collections.Counter of (str, int)
+        Writes by service and epoch index that were sent under a lease and
+        not answered yet.
+    applied_at : float
+        Time of the latest answer of a coordinator.
     """
 
     def __init__(self):
         self.holder = LeaseHolder()
         self.changed = asyncio.Event()
         self.idle = asyncio.Event()
-        self.in_flight: dict[str, int] = {}
+        self.in_flight: collections.Counter[tuple[str, int]] = (
+            collections.Counter()
+        )
+        self.applied_at = 0.0
 
     def apply(self, answer: LeaseAnswer, sent_at: float) -> None:
         """Apply epochs and grants from a coordinator."""
-        time = now()
+        self.applied_at = time = now()
         self.holder.apply(answer, sent_at, time)
         for service, retired in self.holder.retired.items():
             if service in answer.epochs:
@@ -55,7 +65,7 @@
             planned=epoch.planned,
             former=retired.index,
             former_lease_s=max(0.0, retired.until - time),
-            writes=self.in_flight.get(service, 0),
+            writes=self.in_flight[service, retired.index],
         )
 
     def covers(self, services: typing.Iterable[str], time: float) -> bool:
@@ -76,7 +86,10 @@
             deadline = now() + (
                 PLANNED_DRAIN_S if planned else UNPLANNED_DRAIN_S
             )
-            while any(self.in_flight.get(name) for name in retired):
+            while any(
+                self.in_flight[name, epoch.index]
+                for name, epoch in retired.items()
+            ):
                 self.idle.clear()
                 try:
                     async with asyncio.timeout(max(0.0, deadline - now())):
@@ -108,7 +121,7 @@
         Returns
         -------
         int or Failure
-            ``NO_PRIMARY`` if there is no lease in time.
+            ``NO_LEASE`` if there is no lease in time.
         """
         deadline = now() + wait_s
         while True:
@@ -135,8 +148,9 @@
         return None
 
     async def _wait_for_change(self, deadline: float) -> bool:
-        left_s = deadline - now()
-        if left_s <= 0:
+        time = now()
+        left_s = deadline - time
+        if left_s <= 0 or time - self.applied_at > GRANT_INTERVAL_S:
             return False
         try:
             async with asyncio.timeout(left_s):
@@ -157,16 +171,17 @@
         reason = f"no lease on epoch {index} of {service}: {cause}"
         COUNTERS.count("lease_missing", service)
         log_decision("lease_missing", reason=reason)
-        return Failure(ErrorKind.NO_PRIMARY, reason)
+        return Failure(ErrorKind.NO_LEASE, reason)
 
-    def begin_write(self, service: str) -> None:
+    def begin_write(self, service: str, index: int) -> None:
         """Count a write that is about to be sent."""
-        self.in_flight[service] = self.in_flight.get(service, 0) + 1
+        self.in_flight[service, index] += 1
 
-    def end_write(self, service: str) -> None:
+    def end_write(self, service: str, index: int) -> None:
         """Count the answer to a write, or its failure."""
-        self.in_flight[service] -= 1
-        if not self.in_flight[service]:
+        self.in_flight[service, index] -= 1
+        if not self.in_flight[service, index]:
+            del self.in_flight[service, index]
             self.idle.set()
 
 
@@ -191,8 +206,8 @@
         """Return at once."""
         return None
 
-    def begin_write(self, service: str) -> None:
+    def begin_write(self, service: str, index: int) -> None:
         """Do nothing."""
 
-    def end_write(self, service: str) -> None:
+    def end_write(self, service: str, index: int) -> None:
         """Do nothing."""
