--- a/chivescale/coordinator/_host.py
+++ b/chivescale/coordinator/_host.py
@@ -22,6 +22,7 @@
     Callers,
     DocumentAnswer,
     Gossip,
+    GroupStatus,
     LeaseRequest,
     OrderPromotion,
     RevokeRequest,
@@ -54,6 +55,8 @@
 # Callers give up after one second and ask another host.
 COMMAND_TIMEOUT_S = 0.9
 READ_TIMEOUT_S = 0.7
+# JSON has no infinity; a longer age is reported as this one.
+MAX_REPORTED_AGE_S = 1e6
 
 
 class CoordinatorSettings(msgspec.Struct, frozen=True):
@@ -136,6 +139,7 @@
             "/v1/revoke": self._on_revoke,
             "/v1/store": self._on_store,
             "/v1/read": self._on_read,
+            "/v1/status": self._on_status,
         }
 
     def new_agreement(self) -> AgreementHost:
@@ -235,6 +239,23 @@
             return float("inf")
         return machine.contact_age_s(now())
 
+    def group_status(self) -> GroupStatus:
+        """Return what this host knows about the group."""
+        agreement = self.agreement
+        machine, failure = agreement.machine, agreement.failure
+        members = machine.configuration.members if machine else ()
+        own = machine.own_member if machine else None
+        return GroupStatus(
+            self.settings.address,
+            agreement.leader_address,
+            failure is None and own is not None and own.voter,
+            tuple(m.address for m in members if m.voter),
+            tuple(m.address for m in members if not m.voter),
+            min(self.contact_age_s(), MAX_REPORTED_AGE_S),
+            self.state.catalog.version,
+            failure.reason if failure is not None else "",
+        )
+
     # Requests of operators and endpoints.
 
     async def store_catalog(
@@ -394,3 +415,6 @@
 
     async def _on_read(self, body: bytes):
         return await self._read()
+
+    async def _on_status(self, body: bytes):
+        return self.group_status()
--- a/chivescale/coordinator/_messages.py
+++ b/chivescale/coordinator/_messages.py
@@ -123,6 +123,37 @@
     term: int
 
 
+class GroupStatus(msgspec.Struct, frozen=True):
+    """State of the group as one coordinator knows it.
+
+    Attributes
+    ----------
+    name : str
+        Address of that coordinator.
+    leader : str
+        Address of the leader; empty if none is known.
+    voting : bool
+        Whether it is a voter and its log is open.
+    voters, learners : tuple of str
+        Addresses of the members.
+    contact_age_s : float
+        Time in seconds since its last contact with a quorum.
+    version : int
+        Version of the configuration in force.
+    failure : str
+        Why its log is not open; empty if it is.
+    """
+
+    name: str
+    leader: str
+    voting: bool
+    voters: tuple[str, ...]
+    learners: tuple[str, ...]
+    contact_age_s: float
+    version: int
+    failure: str
+
+
 class DocumentAnswer(msgspec.Struct, frozen=True):
     """Compressed configuration in force, confirmed by a quorum."""
 
