--- a/chivescale/agreement/_durable.py
+++ b/chivescale/agreement/_durable.py
@@ -1,6 +1,7 @@
 """Durable storage of the log in a data folder."""
 
 import collections.abc
+import contextlib
 import fcntl
 import os
 import pathlib
@@ -112,7 +113,8 @@
             self._replace_file(SNAPSHOT_NAME, snapshot_file)
             header = LogHeader(self.incarnation, snapshot.index)
             self._replace_file(LOG_NAME, header, Batch(hard_state, entries))
-            os.close(self.file)
+            former, self.file = self.file, None
+            os.close(former)
             self.file = self._open_for_append()
 
         return self._run_unless_failed(replace_files)
@@ -122,8 +124,10 @@
         for name in ("file", "lock"):
             descriptor = getattr(self, name)
             if descriptor is not None:
-                os.close(descriptor)
+                # A descriptor is free even if closing it reports an error.
                 setattr(self, name, None)
+                with contextlib.suppress(OSError):
+                    os.close(descriptor)
 
     def _record_failure(self, kind: ErrorKind, reason: str) -> Failure:
         self.failure = Failure(kind, reason)
--- a/chivescale/coordinator/_host.py
+++ b/chivescale/coordinator/_host.py
@@ -45,6 +45,7 @@
 from chivescale.promotion import PromotionAuthority
 from chivescale.registry import EndpointBeat, Registry
 from chivescale.settings import AgreementSettings, ControlMember
+from chivescale.supervision import run_supervised
 from chivescale.telemetry import log_event
 
 # Timing of the agreement. An election takes up to three election timeouts. The
@@ -170,9 +171,12 @@
         """Open the data directory and join the group."""
         await self.agreement.start()
         self.tasks = [
-            asyncio.ensure_future(self.membership.run()),
-            asyncio.ensure_future(self.distributor.run()),
-            asyncio.ensure_future(self.leases.run()),
+            asyncio.ensure_future(run_supervised(name, part.run))
+            for name, part in (
+                ("membership", self.membership),
+                ("distributor", self.distributor),
+                ("leases", self.leases),
+            )
         ]
 
     async def stop(self) -> None:
--- a/chivescale/coordinator/_promoter.py
+++ b/chivescale/coordinator/_promoter.py
@@ -1,6 +1,7 @@
 """Monitors and replaces primaries while this host leads."""
 
 import asyncio
+import functools
 import math
 
 import msgspec
@@ -19,6 +20,7 @@
     choose_successor,
 )
 from chivescale.registry import EndpointEntry
+from chivescale.supervision import run_supervised
 from chivescale.telemetry import log_event
 
 # Interval between probes of a primary; halved after a failure.
@@ -90,7 +92,9 @@
         """Start without earlier observations when this host becomes leader."""
         self.end()
         log_event("promoter_began", host=self.host.settings.name)
-        self.task = asyncio.ensure_future(self._run())
+        self.task = asyncio.ensure_future(
+            run_supervised("promoter", self._run, TICK_S)
+        )
 
     def end(self) -> None:
         """Cancel all probes and replacements."""
@@ -116,10 +120,7 @@
 
     async def _run(self) -> None:
         while True:
-            try:
-                self._tick()
-            except Exception as err:
-                log_event("promoter_failed", "error", error=repr(err))
+            self._tick()
             await asyncio.sleep(TICK_S)
 
     def _tick(self) -> None:
@@ -195,7 +196,9 @@
                 PrimaryDetector(now()),
             )
             watched.prober = asyncio.ensure_future(
-                self._probe_primary(watched)
+                run_supervised(
+                    "prober", functools.partial(self._probe_primary, watched)
+                )
             )
             self.watched[service] = watched
             log_event(
--- a/chivescale/relay/_host.py
+++ b/chivescale/relay/_host.py
@@ -20,6 +20,7 @@
 from chivescale.relay._isolation import IsolationMonitor
 from chivescale.relay._session import ClientSession
 from chivescale.relay._term_leases import TermLeases
+from chivescale.supervision import run_supervised
 from chivescale.telemetry import COUNTERS, log_decision, log_event
 
 MAINTENANCE_INTERVAL_S = 1.0
@@ -160,9 +161,12 @@
             self._accept, host, int(port), backlog=512
         )
         self.tasks = [
-            asyncio.ensure_future(self.follower.run()),
-            asyncio.ensure_future(self.isolation_monitor.run()),
-            asyncio.ensure_future(self._maintain()),
+            asyncio.ensure_future(run_supervised(name, run))
+            for name, run in (
+                ("watcher", self.follower.run),
+                ("isolation_monitor", self.isolation_monitor.run),
+                ("maintenance", self._maintain),
+            )
         ]
 
     @property
