--- a/chivescale/settings/_files.py
+++ b/chivescale/settings/_files.py
@@ -2,7 +2,6 @@
 
 import collections.abc
 import pathlib
-import ssl
 
 import msgspec
 
@@ -87,6 +86,9 @@
 def _check_certificates(settings: Settings) -> collections.abc.Iterator[str]:
     """Check that each certificate can be loaded, as the servers load it."""
     tls = settings.tls
+    # Only settings with a certificate need it; it takes long to import.
+    import ssl
+
     context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
     for port in ("caller", "api"):
         certificate = getattr(tls, f"{port}_certificate")
--- a/chivescale/telemetry/_log.py
+++ b/chivescale/telemetry/_log.py
@@ -1,7 +1,8 @@
 """Log events as lines of key=value pairs."""
 
-from absl import logging
+import logging
 
+LOGGER = logging.getLogger("chivescale")
 _LEVELS = {
     "debug": logging.DEBUG,
     "info": logging.INFO,
@@ -25,7 +26,7 @@
     """
     pairs = [f"event={event}"]
     pairs += [f"{key}={quote_value(value)}" for key, value in fields.items()]
-    logging.log(_LEVELS[level], "%s", " ".join(pairs))
+    LOGGER.log(_LEVELS[level], "%s", " ".join(pairs))
 
 
 def quote_value(value: object) -> str:
--- a/chivescale/telemetry/_setup.py
+++ b/chivescale/telemetry/_setup.py
@@ -4,9 +4,6 @@
 import time
 import typing
 
-from absl import flags
-from absl import logging as absl_logging
-
 from chivescale.telemetry._log import quote_value
 
 LEVELS = ("debug", "info", "warning", "error")
@@ -15,7 +12,7 @@
 def setup_logging(
     process: str, level: str = "info", stream: typing.TextIO | None = None
 ) -> None:
-    """Write every log record to standard error as one line.
+    """Write every log record as one line.
 
     A line starts with time (UTC), level and process name. Records of the
     standard logging module, for example those of asyncio, are written as
@@ -28,8 +25,25 @@
     level : {"debug", "info", "warning", "error"}
         Lowest level that is written.
     stream : text file, optional
-        Output stream; standard error by default.
+        Output stream; standard error, through absl, by default. With a
+        stream, absl is not imported: that takes as long as a tenth of the
+        start of a process.
     """
+    root = logging.getLogger()
+    if stream is None:
+        _use_absl(process, level)
+    else:
+        handler = logging.StreamHandler(stream)
+        handler.setFormatter(LineFormatter(process))
+        root.handlers[:] = [handler]
+    root.setLevel(level.upper())
+    logging.captureWarnings(True)
+
+
+def _use_absl(process: str, level: str) -> None:
+    from absl import flags
+    from absl import logging as absl_logging
+
     # absl prints a warning if a process logs before its flags are parsed; the
     # daemons define no absl flags.
     flags.FLAGS.mark_as_parsed()
@@ -37,10 +51,6 @@
     absl_logging.use_absl_handler()
     handler = absl_logging.get_absl_handler()
     handler.python_handler.setFormatter(LineFormatter(process))
-    if stream is not None:
-        handler.python_handler.stream = stream
-    logging.getLogger().setLevel(level.upper())
-    logging.captureWarnings(True)
 
 
 class LineFormatter(logging.Formatter):
