Keep endpoints and entry hosts over a restart of all coordinators

They also knew few entry hosts, so that each took itself for a gateway of every service. A late heartbeat of an endpoint that had left made it known again.

Change: coordinators write heartbeats, tombstones and entry hosts to a file when they change, at most every 2 s, and read it at the start. For 3 s they tell the others, whose files may be lost.

--- a/chivescale/coordinator/_distributor.py
+++ b/chivescale/coordinator/_distributor.py
@@ -1,10 +1,12 @@
 """Distributes state to entry hosts and between coordinators."""
 
 import asyncio
+import pathlib
 
 from chivescale.clock import now
 from chivescale.coordinator._entry_hosts import EntryHosts
 from chivescale.coordinator._messages import Gossip
+from chivescale.coordinator._saved_state import SavedState, load, save
 from chivescale.errors import ErrorKind, Failure, is_failure
 from chivescale.messages import (
     Empty,
@@ -13,6 +15,7 @@
     WatchRequest,
 )
 from chivescale.registry import EndpointBeat, EndpointEntry
+from chivescale.telemetry import log_event
 
 # Upper limit of a long poll. With longer polls a host could not distinguish a
 # silent connection from a system without changes.
@@ -26,6 +29,12 @@
 GOSSIP_INTERVAL_S = 1.0
 # A coordinator that does not answer within this time counts as unreachable.
 GOSSIP_TIMEOUT_S = 0.4
+# After its start, a coordinator tells the others what it has read from its
+# file, in case that their files are lost.
+RECALL_SHARE_S = 3.0
+RECALL_INTERVAL_S = 0.25
+# Minimum interval between writes of the file.
+SAVE_INTERVAL_S = 2.0
 # Coordinators that have to know of a draining endpoint, including this one, so
 # that the information survives the loss of one of them.
 MIN_URGENT_COPIES = 2
@@ -56,6 +65,9 @@
         own = host.settings
         self.zones: dict[str, str] = {own.address: own.zone}
         self.waiters: set[asyncio.Future] = set()
+        self.folder = pathlib.Path(own.data_dir)
+        self.saved_revisions: tuple[int, int] | None = None
+        self.saved_at = self.started_at = now()
         self.tasks: set[asyncio.Task] = set()
 
     def notify_waiters(self) -> None:
@@ -207,21 +219,64 @@
         if any(changes):
             self.notify_waiters()
 
+    def recall(self) -> None:
+        """Take over what this host knew before it was restarted.
+
+        Recalled endpoints and hosts expire like others if nothing is heard of
+        them. A connection names the endpoint that it is meant for, so that
+        another one at the same address refuses it.
+        """
+        state = load(self.folder)
+        time = now()
+        for heartbeat in state.endpoints:
+            self.host.registry.record_heartbeat(heartbeat, time)
+        for record in state.hosts:
+            self.hosts.update(record, False, time)
+        log_event(
+            "state_recalled",
+            endpoints=len(state.endpoints),
+            hosts=len(state.hosts),
+        )
+
+    def _save(self, time: float) -> None:
+        """Write the file if an endpoint or an entry host has changed."""
+        registry = self.host.registry
+        revisions = (registry.revision, self.hosts.revision)
+        if (
+            revisions == self.saved_revisions
+            or time - self.saved_at < SAVE_INTERVAL_S
+        ):
+            return
+        beats = tuple(entry.heartbeat for entry in registry.entries.values())
+        self.saved_at = time
+        if save(self.folder, SavedState(beats, self.hosts.active)):
+            self.saved_revisions = revisions
+
     async def run(self) -> None:
         """Expire old entries and exchange soft state at intervals."""
         while True:
-            await asyncio.sleep(GOSSIP_INTERVAL_S)
             time = now()
             self.host.registry.expire(time)
             self.hosts.expire(time)
+            recalling = time - self.started_at < RECALL_SHARE_S
+            entries = self.host.registry.entries.values()
             gossip = Gossip(
                 sender=self.host.settings.address,
                 zone=self.host.settings.zone,
+                beats=(
+                    tuple(entry.heartbeat for entry in entries)
+                    if recalling
+                    else ()
+                ),
                 hosts=self.hosts.to_gossip(time),
                 suspects=self.suspects if self.host.leading else None,
             )
             for address in self.peer_addresses():
                 self._send_gossip(address, gossip)
+            self._save(time)
+            await asyncio.sleep(
+                RECALL_INTERVAL_S if recalling else GOSSIP_INTERVAL_S
+            )
 
 
 def _endpoint_news(entry: EndpointEntry, time: float) -> EndpointUpdate:
--- a/chivescale/coordinator/_host.py
+++ b/chivescale/coordinator/_host.py
@@ -169,6 +169,7 @@
 
     async def start(self) -> None:
         """Open the data directory and join the group."""
+        self.distributor.recall()
         await self.agreement.start()
         self.tasks = [
             asyncio.ensure_future(run_supervised(name, part.run))
--- /dev/null
+++ b/chivescale/coordinator/tests/recall.feature
@@ -0,0 +1,45 @@
+Feature: What coordinators know after they were all restarted
+  Guards against seconds without any endpoint after a power failure of all
+  hosts, until each endpoint has sent its next heartbeat, and against an
+  endpoint that has left being used again after a restart. Real files and
+  connections.
+
+  Background:
+    Given 3 coordinators on loopback
+    And endpoints e1, e2 and e3 at ports 1, 2 and 3, and entry hosts h1 and h2
+
+  Scenario: Endpoints and entry hosts are known at once
+    When all coordinators end without warning and start again
+    Then each coordinator lists e1, e2 and e3 and hosts h1 and h2 at once
+
+  Scenario Outline: An endpoint that has left stays gone
+    When e2 leaves, all coordinators end without warning and start again
+    And <heartbeat> arrives at one coordinator
+    Then each coordinator lists <endpoints> within 1 s
+
+    Examples:
+      | heartbeat                                  | endpoints     |
+      | nothing                                    | e1 and e3     |
+      | a late heartbeat of e2                     | e1 and e3     |
+      | a heartbeat of a new incarnation of e2     | e1, e2 and e3 |
+      | a heartbeat of e4 at port 2                | e1, e3 and e4 |
+
+  Scenario: An address that another endpoint has taken over
+    When all coordinators end without warning and start again
+    And a heartbeat of e4 at port 1 arrives at one coordinator
+    Then each coordinator lists e2, e3 and e4 within 1 s
+
+  Scenario Outline: A file that is lost or damaged
+    When all coordinators end without warning, the file of one is <damage>, and they start again
+    Then each coordinator lists e1, e2 and e3 within 1 s
+
+    Examples:
+      | damage    |
+      | removed   |
+      | truncated |
+      | empty     |
+
+  Scenario: Recalled endpoints and hosts expire when nothing is heard of them
+    When all coordinators end without warning and start again
+    And 31 s pass for them
+    Then each coordinator lists no endpoint and no host
--- /dev/null
+++ b/chivescale/coordinator/tests/steps/recall_steps.py
@@ -0,0 +1,175 @@
+"""Steps for coordinators that are restarted together."""
+
+import asyncio
+import pathlib
+import re
+
+from behave import given, then, when
+from disk_steps import Coordinator, run
+
+from chivescale.clock import now
+from chivescale.coordinator._saved_state import FILE_NAME
+from chivescale.messages import EntryHostRecord
+from chivescale.registry import EndpointBeat
+
+SAVE_WAIT_S = 5.0
+LATER_BORN_MS = 2000
+
+
+def heartbeat(endpoint: str, port: int, **changes) -> EndpointBeat:
+    fields = {
+        "endpoint": endpoint,
+        "service": "ledger",
+        "address": f"127.0.0.1:{port}",
+        "zone": "z1",
+        "slots": 2,
+        "draining": False,
+        "primary": endpoint == "e1",
+        "born_ms": 1000,
+        "sequence": 5,
+    }
+    return EndpointBeat(**{**fields, **changes})
+
+
+def listed(member: Coordinator) -> set[str]:
+    entries = member.host.registry.service_endpoints("ledger")
+    return {entry.heartbeat.endpoint for entry in entries}
+
+
+def names(text: str) -> set[str]:
+    return set(re.findall(r"\b[eh]\d\b", text))
+
+
+@given(
+    "endpoints e1, e2 and e3 at ports 1, 2 and 3, and entry hosts h1 and h2"
+)
+def known(context):
+    async def work():
+        host = context.group[0].host
+        for number in (1, 2, 3):
+            await host.note_beat(heartbeat(f"e{number}", number))
+        for name in ("h1", "h2"):
+            record = EntryHostRecord(name, "z1", "127.0.0.1:9")
+            host.distributor.hosts.update(record, False, now())
+        await saved(context)
+
+    run(context, work())
+
+
+async def saved(context) -> None:
+    """Wait until every coordinator has written what it knows."""
+    async with asyncio.timeout(SAVE_WAIT_S + 5):
+        for member in context.group:
+            distributor = member.host.distributor
+            while True:
+                revisions = (
+                    member.host.registry.revision,
+                    distributor.hosts.revision,
+                )
+                hosts = {h.name for h in distributor.hosts.active}
+                if distributor.saved_revisions == revisions and hosts:
+                    break
+                # Entry hosts would poll.
+                for name in ("h1", "h2"):
+                    record = EntryHostRecord(name, "z1", "127.0.0.1:9")
+                    distributor.hosts.update(record, False, now())
+                await asyncio.sleep(0.05)
+
+
+async def restart(context, damage: str = "") -> None:
+    old = context.group
+    for member in old:
+        # The processes end; nothing is written any more.
+        member.host.distributor.saved_at = float("inf")
+        await member.stop()
+    if damage:
+        path = pathlib.Path(old[0].host.settings.data_dir) / FILE_NAME
+        data = path.read_bytes()
+        if damage == "removed":
+            path.unlink()
+        else:
+            path.write_bytes(data[: len(data) // 2 if damage[0] == "t" else 0])
+    seeds = old[0].host.settings.seeds
+    folder = str(pathlib.Path(old[0].host.settings.data_dir).parent)
+    context.group[:] = [Coordinator(m.address, seeds, folder) for m in old]
+    for member in context.group:
+        await member.start()
+
+
+@when("all coordinators end without warning and start again")
+def restarted(context):
+    run(context, restart(context))
+
+
+@when("e2 leaves, all coordinators end without warning and start again")
+def leaves_and_restarted(context):
+    async def work():
+        await context.group[0].host.note_farewell("e2", 1000)
+        await asyncio.sleep(0.2)
+        await saved(context)
+        await restart(context)
+
+    run(context, work())
+
+
+@when(
+    "all coordinators end without warning, the file of one is {damage}, and"
+    " they start again"
+)
+def damaged(context, damage):
+    run(context, restart(context, damage))
+
+
+@when("{what} arrives at one coordinator")
+def arrives(context, what):
+    beats = {
+        "nothing": None,
+        "a late heartbeat of e2": heartbeat("e2", 2, sequence=4),
+        "a heartbeat of a new incarnation of e2": heartbeat(
+            "e2", 2, born_ms=LATER_BORN_MS, sequence=1
+        ),
+        "a heartbeat of e4 at port 2": heartbeat(
+            "e4", 2, born_ms=LATER_BORN_MS, sequence=1
+        ),
+        "a heartbeat of e4 at port 1": heartbeat(
+            "e4", 1, born_ms=LATER_BORN_MS, sequence=1
+        ),
+    }
+    beat = beats[what]
+    if beat is not None:
+        run(context, context.group[1].host.note_beat(beat))
+
+
+@when("{seconds:d} s pass for them")
+def time_passes(context, seconds):
+    for member in context.group:
+        time = now() + seconds
+        member.host.registry.expire(time)
+        member.host.distributor.hosts.expire(time)
+
+
+@then("each coordinator lists e1, e2 and e3 and hosts h1 and h2 at once")
+def lists_all(context):
+    for member in context.group:
+        assert listed(member) == {"e1", "e2", "e3"}, listed(member)
+        hosts = {h.name for h in member.host.distributor.hosts.active}
+        assert hosts == {"h1", "h2"}, hosts
+        primary = member.host.registry.entries["e1"]
+        assert primary.primary_since, primary
+
+
+@then("each coordinator lists {expected} within {seconds:d} s")
+def lists_within(context, expected, seconds):
+    async def work():
+        await asyncio.sleep(seconds)
+
+    run(context, work())
+    for member in context.group:
+        assert listed(member) == names(expected), listed(member)
+
+
+@then("each coordinator lists no endpoint and no host")
+def lists_nothing(context):
+    for member in context.group:
+        assert not listed(member), listed(member)
+        assert not member.host.distributor.hosts.active
