Send no order for a promotion that a later one has overtaken

Cause: where nobody checks tokens, a leader that was suspended between the reservation of its token and the order would send a lower token than its successor had used. An order without an answer may be carried out seconds later; the next try could name another endpoint, so that two were promoted under one former primary that serves on.

Change: before the order a quorum confirms that this host still leads and that the token is the latest of the service, else the order is withdrawn and logged. While the endpoint of the latest epoch has not become primary, it is chosen again if it answers. Both only where endpoints are not fenced.

Ruled out: relying on the platform's refusal, which exists only elsewhere.

The price is one round trip per promotion.

--- a/chivescale/coordinator/_promoter.py
+++ b/chivescale/coordinator/_promoter.py
@@ -35,6 +35,8 @@
 TAKEOVER_TIMEOUT_S = 3.0
 TAKEOVER_POLL_S = 0.05
 RETRY_DELAY_S = 0.2
+# Time for a quorum to confirm that this host still leads.
+CONFIRM_TIMEOUT_S = 0.5
 # Endpoints send heartbeats every 1.2 s, so a primary is known after three.
 NO_PRIMARY_TIMEOUT_S = 4.0
 # Interval at which a former primary that still claims to be primary is told.
@@ -370,6 +372,8 @@
             return False
         if self.host.leases.enabled:
             await self._end_epoch(watched, new_primary, token, dead)
+            if not await self._is_latest_order(service, token):
+                return False
         outcome = await self.authority.promote(
             service, new_primary, self.host.settings.name, token
         )
@@ -406,6 +410,28 @@
             return await self._check_primary(heartbeat.endpoint) is True
         return changed
 
+    async def _is_latest_order(self, service: str, token: int) -> bool:
+        """Return whether no later promotion of the service was agreed on.
+
+        Nobody checks the token of an order where endpoints are not fenced. A
+        leader that was suspended meanwhile must not send it any more.
+        """
+        confirmed = await self.host.agreement.confirm_read(
+            now() + CONFIRM_TIMEOUT_S
+        )
+        latest = self.host.leases.epoch(service).index
+        if is_failure(confirmed) or latest != token:
+            log_event(
+                "promotion_withdrawn",
+                "warning",
+                service=service,
+                token=token,
+                latest=latest,
+                reason=confirmed.reason if is_failure(confirmed) else "",
+            )
+            return False
+        return True
+
     async def _end_epoch(
         self, watched: WatchedPrimary, successor: str, index: int, dead: bool
     ) -> None:
@@ -495,7 +521,9 @@
             )
             for entry, state in zip(entries, states, strict=True)
         ]
-        new_primary = choose_successor(candidates, sync_replicas)
+        new_primary = choose_successor(
+            candidates, sync_replicas, self._ordered_endpoint(watched)
+        )
         if sync_replicas and not dead and not is_failure(new_primary):
             term = max(s.term for s in states if s is not None)
             pause = self.dialect.pause_text(term + 1)
@@ -512,6 +540,20 @@
             )
         return new_primary
 
+    def _ordered_endpoint(self, watched: WatchedPrimary) -> str:
+        """Return the endpoint of the latest promotion if it had no effect.
+
+        Matters only where the log decides which endpoint is the primary.
+        """
+        epoch = self.host.leases.epoch(watched.service)
+        if not self.host.leases.enabled:
+            return ""
+        if epoch.endpoint == watched.endpoint and not (
+            watched.not_primary_since
+        ):
+            return ""
+        return epoch.endpoint
+
     def _replicas(self, watched: WatchedPrimary) -> list[EndpointEntry]:
         """Return the endpoints that may succeed a primary.
 
--- a/chivescale/promotion/_choice.py
+++ b/chivescale/promotion/_choice.py
@@ -25,9 +25,9 @@
 
 
 def choose_successor(
-    candidates: list[Candidate], sync_replicas: int
+    candidates: list[Candidate], sync_replicas: int, ordered: str = ""
 ) -> str | Failure:
-    """Return the most advanced replica.
+    """Return the most advanced replica, or the one ordered before.
 
     At least `sync_replicas` replicas hold each acknowledged commit. If fewer
     than that did not answer, one that answered holds it. Otherwise an
@@ -39,6 +39,10 @@
         All replicas of the service that have not terminated.
     sync_replicas : int
         Number of replicas that receive a commit before it is acknowledged.
+    ordered : str
+        Replica whose promotion was ordered before without effect so far;
+        empty if none. That order may still be executed, so that two
+        endpoints would be promoted if another one was chosen.
 
     Returns
     -------
@@ -60,5 +64,7 @@
     latest_position = max(c.received for c in responding)
     if sync_replicas:
         preferred = [c for c in preferred if c.received == latest_position]
+    if ordered in {c.endpoint for c in preferred}:
+        return ordered
     best = max(preferred or responding, key=lambda c: (c.received, c.endpoint))
     return best.endpoint
--- a/chivescale/promotion/tests/promotion.feature
+++ b/chivescale/promotion/tests/promotion.feature
@@ -22,6 +22,19 @@
       | refuses once                | 1000 |              | alive   |
       | is checked by a paused host | 3000 |              | alive   |
 
+  Scenario Outline: An endpoint whose promotion was ordered is chosen again
+    Given replicas <replicas> and <sync> synchronous copies, after an order for <ordered>
+    Then the successor is <successor>
+
+    Examples:
+      | replicas                  | sync | ordered | successor |
+      | a 3.10, b 3.12            | 0    | a       | a         |
+      | a 3.10, b 3.12            | 0    | b       | b         |
+      | a silent, b 3.12          | 0    | a       | b         |
+      | a 3.10 draining, b 3.12   | 0    | a       | b         |
+      | a 3.10, b 3.12            | 1    | a       | b         |
+      | a 3.10, b 3.12            | 0    | c       | b         |
+
   Scenario Outline: Selection of the successor
     Given replicas <replicas> and <sync> synchronous copies
     Then the successor is <successor>
--- a/chivescale/promotion/tests/steps/promotion_steps.py
+++ b/chivescale/promotion/tests/steps/promotion_steps.py
@@ -81,6 +81,18 @@
 
 @given("replicas {replicas} and {sync:d} synchronous copies")
 def replicas(context, replicas, sync):
+    context.choice = choose_successor(candidates_from(replicas), sync)
+
+
+@given(
+    "replicas {replicas} and {sync:d} synchronous copies, after an order for"
+    " {ordered}"
+)
+def replicas_after_order(context, replicas, sync, ordered):
+    context.choice = choose_successor(candidates_from(replicas), sync, ordered)
+
+
+def candidates_from(replicas: str) -> list[Candidate]:
     candidates = []
     for text in replicas.split(", "):
         name, state, *rest = text.split(" ")
@@ -88,7 +100,7 @@
         if state != "silent":
             received = Position(*map(int, state.split(".")))
         candidates.append(Candidate(name, received, rest == ["draining"]))
-    context.choice = choose_successor(candidates, sync)
+    return candidates
 
 
 @then("the successor is {successor}")
