Log the stand-in as the daemons do and drop absl from the deployment

Cause: with events logged through the standard library, the stand-in's absl handler left its informative lines out; the roles of the deployment no longer import absl.

--- a/chivescale/telemetry/tests/steps/telemetry_steps.py
+++ b/chivescale/telemetry/tests/steps/telemetry_steps.py
@@ -4,6 +4,8 @@
 import io
 import logging
 import re
+import subprocess
+import sys
 
 import aiohttp
 import hypothesis
@@ -190,3 +192,28 @@
 
     text = asyncio.run(run())
     assert 'chivescale_reads_total{role="replica"} 1.0' in text
+
+
+@then("its lines go to that stream and absl is not imported")
+def own_stream(context):
+    program = (
+        "import sys\n"
+        "from chivescale.telemetry import log_event, setup_logging\n"
+        "setup_logging('test process', 'info', sys.stdout)\n"
+        "log_event('debugged', 'debug')\n"
+        "log_event('test', value=1)\n"
+        "import logging\n"
+        "logging.getLogger('other').error('two')\n"
+        "assert 'absl' not in sys.modules\n"
+    )
+    done = subprocess.run(
+        [sys.executable, "-c", program],
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    assert done.returncode == 0, done.stderr
+    lines = done.stdout.splitlines(keepends=True)
+    assert len(lines) == 2, lines
+    assert all(LINE.fullmatch(line) for line in lines), lines
+    assert "event=test value=1" in lines[0], lines
--- a/chivescale/telemetry/tests/telemetry.feature
+++ b/chivescale/telemetry/tests/telemetry.feature
@@ -19,6 +19,10 @@
 
   Scenario: Lines of both logging modules
     Then lines of absl and of the logging module have time, level and process
+
+  Scenario: A process with a stream of its own
+    Guards against lines that are lost and against a slow start.
+    Then its lines go to that stream and absl is not imported
     And a line below the level is not written
     And a traceback stays in one line
 
--- a/chivescale_standin/_main.py
+++ b/chivescale_standin/_main.py
@@ -4,9 +4,8 @@
 import signal
 import sys
 
-from absl import logging
-
 from chivescale.errors import is_failure
+from chivescale.telemetry import setup_logging
 from chivescale_standin._endpoint import Endpoint
 from chivescale_standin._settings import StandinSettings, load_settings
 
@@ -35,7 +34,6 @@
     if is_failure(settings):
         print(f"chivescale-standin: {settings.reason}", file=sys.stderr)
         return 2
-    logging.use_absl_handler()
-    logging.set_verbosity(logging.INFO)
+    setup_logging(settings.name, "info")
     asyncio.run(serve_endpoint(settings))
     return 0
