Check the lease again once a write has its connection

Cause: a write under a lease may wait for a connection for half of its latency goal. If the epoch ended meanwhile, it was still sent to the former primary, ran there, and its caller was told that the outcome is unknown. Change: the lease is checked before the write is sent; without one it has not run, and another host may serve it. Measured: unfenced.feature, a write whose connection comes once another server leads: run by the replaced primary before, not after.

--- a/chivescale/relay/_executor.py
+++ b/chivescale/relay/_executor.py
@@ -111,6 +111,11 @@
             if is_failure(connection):
                 failure = connection
                 continue
+            # The epoch may have ended while the write waited.
+            failure = await self._verify_epoch(service, epoch, request)
+            if failure is not None:
+                self.releaser.release(endpoint, connection)
+                return failure
             sent_at = now()
             outcome = await self._run_leased_write(
                 service, endpoint, connection, request, epoch
@@ -475,10 +480,16 @@
         self, transaction: Transaction, request: StatementRequest
     ) -> Failure | None:
         """Return a failure if the epoch of a transaction has ended."""
+        return await self._verify_epoch(
+            transaction.service, transaction.epoch, request
+        )
+
+    async def _verify_epoch(
+        self, service: Service, epoch: int, request: StatementRequest
+    ) -> Failure | None:
+        """Return a failure if there is no lease on an epoch any more."""
         return await self.leases.verify(
-            transaction.service.name,
-            transaction.epoch,
-            request.connection_wait_s(now()),
+            service.name, epoch, request.connection_wait_s(now())
         )
 
     def _record_primary(
@@ -549,9 +560,7 @@
         if is_failure(connection):
             return connection
         if epoch is not None:
-            failure = await self.leases.verify(
-                service.name, epoch, request.connection_wait_s(now())
-            )
+            failure = await self._verify_epoch(service, epoch, request)
             if failure is not None:
                 self.releaser.release(endpoint, connection)
                 return failure
