Take the gateways of a service from all zones and let them tell that they are cut off

Cause: on the large fleet each service had 19 gateways, placed by hashing without regard to zones, each with few connections of its own. A host behind a zone partition that forwards to a gateway of its own zone counted this gateway as reachable and stayed ready for the whole partition, because an open connection was enough. Ruled out: slow detection by the others (hosts that connect directly report not ready after 0.75 s). Change: gateways are chosen from the zones in turn, with five connections each instead of two; Pong carries whether the gateway is isolated. A host without coordinators pings gateways of other zones, and counts a gateway of its own zone only if that is not isolated. Versions without the field are read as before. Tests: gateway.feature, selection in each zone and movement, answers of gateways; behave chivescale/gateway/tests.

--- a/chivescale/gateway/__init__.py
+++ b/chivescale/gateway/__init__.py
@@ -8,6 +8,7 @@
 from chivescale.gateway._client import MAX_FRAME_BYTES, GatewayClient
 from chivescale.gateway._messages import (
     GatewayRequest,
+    GatewayResponse,
     GoAway,
     Hello,
     Ping,
@@ -22,6 +23,7 @@
     "MAX_FRAME_BYTES",
     "GatewayClient",
     "GatewayRequest",
+    "GatewayResponse",
     "GoAway",
     "Hello",
     "Ping",
--- a/chivescale/gateway/_client.py
+++ b/chivescale/gateway/_client.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from chivescale.clock import now
-from chivescale.errors import ErrorKind, Failure, is_failure
+from chivescale.errors import ErrorKind, Failure
 from chivescale.gateway._messages import (
     GatewayResponse,
     GoAway,
@@ -88,6 +88,7 @@
         self.reconnect_task: asyncio.Task | None = None
         self.last_message_at = 0.0
         self.ping_sent_at: float | None = None
+        self.pong_waiters: set[asyncio.Future] = set()
         self.reported_load = 0
         self.reported_load_at = 0.0
 
@@ -136,6 +137,25 @@
         finally:
             self.pending_calls.pop(message.number, None)
 
+    async def ping(self, timeout_s: float) -> Pong | Failure:
+        """Ask the gateway whether it works."""
+        failure = await self.connect()
+        if failure is not None:
+            return failure
+        reason = f"gateway {self.name}: no answer in {timeout_s:g} s"
+        if self.channel is None:
+            return Failure(ErrorKind.UNREACHABLE, reason)
+        waiter = asyncio.get_running_loop().create_future()
+        self.pong_waiters.add(waiter)
+        self.channel.send(encode(Ping()) + b"\r\n")
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await waiter
+        except TimeoutError:
+            return Failure(ErrorKind.TIMEOUT, reason)
+        finally:
+            self.pong_waiters.discard(waiter)
+
     def roll_back(self, transaction: int) -> None:
         """Request a rollback without waiting for it."""
         if self.channel is not None:
@@ -210,7 +230,7 @@
                 self.leaving = True
                 log_event("gateway_leaving", gateway=self.name)
             case Pong():
-                pass
+                self._resolve_pings(message)
             case Failure():
                 self._disconnect(f"cannot decode message: {message.reason}")
 
@@ -227,6 +247,12 @@
         for call in self.pending_calls.values():
             if not call.future.done():
                 call.future.set_result(failure)
+        self._resolve_pings(failure)
+
+    def _resolve_pings(self, outcome: Pong | Failure) -> None:
+        for waiter in self.pong_waiters:
+            if not waiter.done():
+                waiter.set_result(outcome)
 
     def _disconnect(self, reason: str) -> None:
         if self.channel is not None:
@@ -248,10 +274,6 @@
             self.ping_sent_at = time
             self.channel.send(encode(Ping()) + b"\r\n")
 
-    async def ensure_connected(self) -> bool:
-        """Return whether a connection is open or could be opened."""
-        return not is_failure(await self.connect())
-
     def close(self) -> None:
         """Close the connection and stop reconnecting."""
         if self.reconnect_task is not None:
--- a/chivescale/gateway/_messages.py
+++ b/chivescale/gateway/_messages.py
@@ -123,8 +123,16 @@
     """Checks that the connection works."""
 
 
-class Pong(msgspec.Struct, frozen=True, tag="pong"):
-    """Response to `Ping`."""
+class Pong(msgspec.Struct, frozen=True, tag="pong", omit_defaults=True):
+    """Response to `Ping`.
+
+    Attributes
+    ----------
+    isolated : bool
+        Whether the gateway has lost coordinators and primaries.
+    """
+
+    isolated: bool = False
 
 
 class GoAway(msgspec.Struct, frozen=True, tag="bye"):
--- a/chivescale/gateway/_plan.py
+++ b/chivescale/gateway/_plan.py
@@ -3,6 +3,7 @@
 import collections.abc
 import functools
 import hashlib
+import itertools
 
 
 @functools.lru_cache(maxsize=65536)
@@ -23,7 +24,7 @@
 def select_gateways(
     service: str,
     services: tuple[str, ...],
-    hosts: collections.abc.Iterable[str],
+    zones: collections.abc.Mapping[str, str],
     connections: int,
     min_direct_connections: int,
     min_gateway_connections: int,
@@ -32,7 +33,9 @@
 
     If connections are scarce, each host is assigned one service by
     rendezvous hashing, which spreads the load of all services over all
-    hosts.
+    hosts. The gateways of a service are taken from all zones in turn, so
+    that a zone that is cut off takes its share of them only and statements
+    stay in their zone.
 
     Parameters
     ----------
@@ -40,8 +43,8 @@
         Service to select hosts for.
     services : tuple of str
         All services.
-    hosts : iterable of str
-        Available entry hosts.
+    zones : mapping of str to str
+        Availability zone of each available entry host, by name.
     connections : int
         Connections that one endpoint accepts from all entry hosts together.
     min_direct_connections : int
@@ -50,14 +53,35 @@
     min_gateway_connections : int
         Minimum number of connections per gateway.
     """
-    hosts = sorted(hosts)
-    if not hosts or connections >= min_direct_connections * len(hosts):
-        return frozenset(hosts)
-    candidates = [
-        h for h in hosts if _preferred_service(h, services) == service
-    ] or hosts
+    if not zones or connections >= min_direct_connections * len(zones):
+        return frozenset(zones)
+    by_zone: dict[str, list[str]] = {}
+    for host, zone in zones.items():
+        by_zone.setdefault(zone, []).append(host)
+    ranked = {
+        zone: _ranked_candidates(hosts, service, services)
+        for zone, hosts in by_zone.items()
+    }
+    # Which zones get one gateway more than others differs between services.
+    order = sorted(ranked, key=lambda zone: _rendezvous_weight(zone, service))
+    in_turn = itertools.chain.from_iterable(
+        itertools.zip_longest(*(ranked[zone] for zone in order))
+    )
     limit = max(1, connections // min_gateway_connections)
-    candidates.sort(
-        key=lambda host: _rendezvous_weight(host, service), reverse=True
+    hosts = (host for host in in_turn if host is not None)
+    return frozenset(itertools.islice(hosts, limit))
+
+
+def _ranked_candidates(
+    hosts: list[str], service: str, services: tuple[str, ...]
+) -> list[str]:
+    """Return the hosts of a zone assigned to a service, or one other host."""
+    hosts = sorted(
+        hosts,
+        key=lambda host: _rendezvous_weight(host, service),
+        reverse=True,
     )
-    return frozenset(candidates[:limit])
+    assigned = [
+        host for host in hosts if _preferred_service(host, services) == service
+    ]
+    return assigned or hosts[:1]
--- a/chivescale/gateway/tests/gateway.feature
+++ b/chivescale/gateway/tests/gateway.feature
@@ -1,6 +1,6 @@
 Feature: Selection of gateways
   Guards against exceeding the connection limit of an endpoint, load that is
-  concentrated on few hosts, and assignments that change with every host that
+  concentrated on few hosts, zones without a gateway of a service, and assignments that change with every host that
   joins or leaves. No network.
 
   Scenario Outline: Scarce connections: which hosts connect to a service
@@ -22,6 +22,22 @@
     When one host is removed
     Then each other host connects to the same services as before
 
+  Scenario Outline: Zone partition: each zone has gateways of its own
+    Given <hosts> hosts in <zones> zones and 4 services whose endpoints accept 68, <per> a gateway
+    Then each zone has <least> to <most> gateways of each service
+
+    Examples: 13 gateways with 5 connections, 34 with 2
+      | hosts | zones | per | least | most |
+      | 194   | 6     | 5   | 2     | 3    |
+      | 127   | 4     | 5   | 3     | 4    |
+      | 72    | 6     | 5   | 1     | 5    |
+      | 3200  | 6     | 5   | 2     | 3    |
+      | 3200  | 6     | 2   | 5     | 6    |
+
+  Scenario: The end of any host moves at most its own work
+    Given 194 hosts in 6 zones and 4 services whose endpoints accept 68, 5 a gateway
+    Then a service loses 1 gateway at most and gains one for each lost
+
   Scenario: Few hosts are assigned no service
     Given 106 hosts and 4 services whose endpoints accept 300
     When the endpoints accept 63
@@ -39,3 +55,18 @@
       | a near 0 leaving, b far 3         | b       |
       | a near 0 failed, b far 3          | b       |
       | a near 0 failed                   | nothing |
+
+  Scenario Outline: Zone partition: a host without coordinators asks gateways
+    Given a host of zone near and gateways that answer <answers>
+    Then the host <reaches> the service
+
+    Examples: name, zone, answer
+      | answers                                    | reaches       |
+      | a near works, b far silent                 | reaches       |
+      | a near isolated, b far silent              | cannot reach  |
+      | a near isolated, b far works               | reaches       |
+      | a near isolated, b far isolated            | reaches       |
+      | a near silent, b far silent                | cannot reach  |
+      | a near isolated, b near works, c far silent | reaches      |
+      | b far silent, c farther works              | reaches       |
+      | a near old                                 | reaches       |
--- a/chivescale/gateway/tests/steps/gateway_plan_steps.py
+++ b/chivescale/gateway/tests/steps/gateway_plan_steps.py
@@ -1,21 +1,35 @@
 """Steps for the selection of gateways."""
 
+import asyncio
+import collections
 import random
 
 from behave import given, then, when
 
 from chivescale import clock
-from chivescale.gateway import GatewayClient, select_gateways
+from chivescale.errors import ErrorKind, Failure
+from chivescale.gateway import (
+    GatewayClient,
+    GatewayResponse,
+    Pong,
+    select_gateways,
+)
+from chivescale.messages import decode
 from chivescale.relay._forwarder import Forwarder
 
 SERVICES = ("ledger", "atelier", "creel", "slots")
+ZONES = ("z1", "z2", "z3", "z4", "z5", "z6")
 MIN_GATEWAY_CONNECTIONS = 2
 
 
-def plan(hosts, connections: int) -> dict[str, frozenset[str]]:
+def plan(
+    hosts: dict[str, str],
+    connections: int,
+    min_connections: int = MIN_GATEWAY_CONNECTIONS,
+) -> dict[str, frozenset[str]]:
     return {
         service: select_gateways(
-            service, SERVICES, hosts, connections, 1, MIN_GATEWAY_CONNECTIONS
+            service, SERVICES, hosts, connections, 1, min_connections
         )
         for service in SERVICES
     }
@@ -23,7 +37,7 @@
 
 @given("{count:d} hosts and 4 services whose endpoints accept {connections:d}")
 def hosts_and_services(context, count, connections):
-    context.hosts = [f"entry-{n}" for n in range(count)]
+    context.hosts = {f"entry-{n}": ZONES[n % len(ZONES)] for n in range(count)}
     context.connections = connections
     context.plan = plan(context.hosts, connections)
 
@@ -44,12 +58,14 @@
 @when("one host is removed")
 def host_ends(context):
     context.before = context.plan
-    context.plan = plan(context.hosts[1:], context.connections)
+    context.removed = next(iter(context.hosts))
+    left = {h: z for h, z in context.hosts.items() if h != context.removed}
+    context.plan = plan(left, context.connections)
 
 
 @then("each other host connects to the same services as before")
 def same_services(context):
-    gone = {context.hosts[0]}
+    gone = {context.removed}
     for service in SERVICES:
         assert context.plan[service] == context.before[service] - gone
 
@@ -87,3 +103,65 @@
 def goes_to(context, choice):
     peer = context.forwarder.choose_gateway("ledger", set())
     assert (peer.name if peer else "nothing") == choice
+
+
+@given(
+    "{count:d} hosts in {zones:d} zones and 4 services whose endpoints accept"
+    " {connections:d}, {least:d} a gateway"
+)
+def hosts_in_zones(context, count, zones, connections, least):
+    hosts = {f"entry-{n}": ZONES[n % zones] for n in range(count)}
+    context.hosts = hosts
+    context.plan = plan(hosts, connections, least)
+    context.replan = lambda names: plan(
+        {name: hosts[name] for name in names}, connections, least
+    )
+
+
+@then("each zone has {least:d} to {most:d} gateways of each service")
+def per_zone(context, least, most):
+    for service, names in context.plan.items():
+        counts = collections.Counter(context.hosts[name] for name in names)
+        for zone in set(context.hosts.values()):
+            found = counts[zone]
+            assert least <= found <= most, (service, zone, found)
+
+
+@then("a service loses {most:d} gateway at most and gains one for each lost")
+def movement(context, most):
+    for removed in context.hosts:
+        after = context.replan(n for n in context.hosts if n != removed)
+        for service, names in context.plan.items():
+            lost = names - after[service]
+            assert lost <= {removed} and len(lost) <= most, (removed, service)
+            assert len(after[service] - names) <= len(lost)
+
+
+@given("a host of zone near and gateways that answer {answers}")
+def gateways_answer(context, answers):
+    pongs = {
+        "works": Pong(),
+        "isolated": Pong(isolated=True),
+        # A gateway of a version without the field.
+        "old": decode(b'{"type":"pong"}', GatewayResponse),
+        "silent": Failure(ErrorKind.TIMEOUT, "no answer"),
+    }
+    context.forwarder = forwarder = Forwarder(
+        "own", "near", None, random.Random(1)
+    )
+    for text in answers.split(", "):
+        name, zone, answer = text.split(" ")
+        peer = GatewayClient("own", name, zone, "127.0.0.1:9")
+
+        async def ping(timeout_s, pong=pongs[answer]):
+            return pong
+
+        peer.ping = ping
+        forwarder.peers[name] = peer
+    forwarder.gateways = {"ledger": frozenset(forwarder.peers)}
+
+
+@then("the host {reaches} the service")
+def reaches_service(context, reaches):
+    found = asyncio.run(context.forwarder.can_reach("ledger"))
+    assert found == (reaches == "reaches"), found
--- a/chivescale/relay/_forwarder.py
+++ b/chivescale/relay/_forwarder.py
@@ -1,12 +1,13 @@
 """Routes statements to the local executor or to a gateway."""
 
+import asyncio
 import collections.abc
 import random
 
 from chivescale.clock import now
 from chivescale.dialect import Reply
 from chivescale.errors import ErrorKind, Failure, is_failure
-from chivescale.gateway import GatewayClient, RunRequest, RunResponse
+from chivescale.gateway import GatewayClient, Pong, RunRequest, RunResponse
 from chivescale.messages import EntryHostRecord
 from chivescale.relay._executor import Executor
 from chivescale.relay._hedging import HedgedReads
@@ -42,6 +43,12 @@
 # this many more statements running or queued.
 CROSS_ZONE_LOAD_PENALTY = 6
 
+# A host that has lost the coordinators pings gateways of this many other
+# zones at a time, and this many of its own zone for each service.
+MAX_PROBED_ZONES = 3
+MAX_PROBED_GATEWAYS = 2
+PROBE_TIMEOUT_S = 0.25
+
 # Failures of a gateway after which another gateway may be tried.
 RETRYABLE_KINDS = frozenset(
     {
@@ -72,6 +79,8 @@
         Clients of other hosts by name.
     departed : list of GatewayClient
         Clients of removed gateways whose connections are still open.
+    zone_probe : asyncio.Task or None
+        Latest check whether other zones are reachable.
     unable_until : dict of (str, str) to float
         Time until which a gateway is avoided for a service, because it
         lacked a connection or a lease.
@@ -93,6 +102,7 @@
         self.departed: list[GatewayClient] = []
         self.unable_until: dict[tuple[str, str], float] = {}
         self.hedged_reads = HedgedReads()
+        self.zone_probe: asyncio.Task | None = None
 
     def update(
         self,
@@ -161,12 +171,45 @@
                 self.local_executor.get_service(service)
             )
             return failure is None
-        excluded: set[str] = set()
-        while (peer := self.choose_gateway(service, excluded)) is not None:
-            if await peer.ensure_connected() or len(excluded) >= MAX_GATEWAYS:
-                return peer.channel is not None
-            excluded.add(peer.name)
-        return False
+        return (
+            await self._reaches_other_zone()
+            or await self._is_reachable_in_zone(service)
+        )
+
+    async def _reaches_other_zone(self) -> bool:
+        """Return whether a gateway of another zone answers.
+
+        Concurrent callers share the result.
+        """
+        if self.zone_probe is None or self.zone_probe.done():
+            self.zone_probe = asyncio.ensure_future(self._probe_other_zones())
+        return await asyncio.shield(self.zone_probe)
+
+    async def _probe_other_zones(self) -> bool:
+        by_zone: dict[str, list[GatewayClient]] = {}
+        for peer in self.peers.values():
+            if peer.usable and peer.zone != self.zone:
+                by_zone.setdefault(peer.zone, []).append(peer)
+        zones = self.rng.sample(
+            sorted(by_zone), min(MAX_PROBED_ZONES, len(by_zone))
+        )
+        peers = [self.rng.choice(by_zone[zone]) for zone in zones]
+        return any(not is_failure(a) for a in await _ping_all(peers))
+
+    async def _is_reachable_in_zone(self, service: str) -> bool:
+        """Return whether a gateway of the own zone can run statements.
+
+        The gateways of a zone that is cut off still answer each other.
+        """
+        peers = [
+            peer
+            for name in sorted(self.gateways.get(service, ()))
+            if (peer := self.peers.get(name)) is not None
+            and peer.usable
+            and peer.zone == self.zone
+        ]
+        answers = await _ping_all(peers[:MAX_PROBED_GATEWAYS])
+        return any(not is_failure(a) and not a.isolated for a in answers)
 
     def check_timeouts(self, time: float) -> None:
         """Check the connections of gateways with overdue responses."""
@@ -357,6 +400,14 @@
         return _apply_response(request, response)
 
 
+async def _ping_all(
+    peers: collections.abc.Iterable[GatewayClient],
+) -> list[Pong | Failure]:
+    return await asyncio.gather(
+        *(peer.ping(PROBE_TIMEOUT_S) for peer in peers)
+    )
+
+
 def _make_request(
     number: int,
     request: StatementRequest,
--- a/chivescale/relay/_gateway.py
+++ b/chivescale/relay/_gateway.py
@@ -113,6 +113,11 @@
         """Number of open transactions of other hosts."""
         return sum(len(c.transactions) for c in self.connections)
 
+    @property
+    def isolated(self) -> bool:
+        """Whether this host has lost coordinators and primaries."""
+        return self.host.isolation_monitor.isolated_since is not None
+
     def announce_shutdown(self) -> None:
         """Notify the other hosts to send no new statements."""
         for connection in self.connections:
@@ -148,7 +153,7 @@
             case Hello(host):
                 self.peer = host
             case Ping():
-                self.send(Pong())
+                self.send(Pong(isolated=self.server.isolated))
             case RollbackRequest(number):
                 self._end(number)
             case RunRequest():
--- a/chivescale/relay/_host.py
+++ b/chivescale/relay/_host.py
@@ -68,8 +68,9 @@
         Every host connects to the endpoints of a service if each endpoint
         accepts this many connections per host.
     min_gateway_connections : int
-        Minimum number of connections per gateway to an endpoint: one for a
-        transaction and one for concurrent statements.
+        Minimum number of connections per gateway to an endpoint. Fewer
+        gateways share their connections better: the endpoint is then not
+        full of dead ones after a power failure of all hosts.
     endpoints_fenced : bool
         Whether an endpoint refuses writes as soon as another one was promoted
         in its place. If not, this host uses a primary only under a lease.
@@ -82,7 +83,7 @@
     stop_grace_s: float
     gateway_address: str = ""
     min_direct_connections: int = 1
-    min_gateway_connections: int = 2
+    min_gateway_connections: int = 5
     endpoints_fenced: bool = True
 
 
@@ -350,13 +351,13 @@
 
     def _assign_gateways(self) -> None:
         services = tuple(self.max_connections)
-        names = {host.name for host in self.entry_hosts if host.address}
-        names.add(self.settings.name)
+        zones = {h.name: h.zone for h in self.entry_hosts if h.address}
+        zones[self.settings.name] = self.settings.zone
         gateways = {
             service: select_gateways(
                 service,
                 services,
-                names,
+                zones,
                 _available_connections(self.max_connections[service]),
                 self.settings.min_direct_connections,
                 self.settings.min_gateway_connections,
