Add a command that sums up the metrics of a fleet

Cause: with 200 hosts nobody reads 200 metrics pages, and a host with a fault of its own disappears in the sum. Tests: cli.feature, "A fleet summed up" and three exit codes.

--- a/chivescale/cli/_main.py
+++ b/chivescale/cli/_main.py
@@ -6,7 +6,7 @@
 import inspect
 
 import chivescale
-from chivescale.cli import _control, _data, _local, _sheet, _status
+from chivescale.cli import _control, _data, _fleet, _local, _sheet, _status
 from chivescale.cli._report import print_report
 from chivescale.cli._system import (
     Command,
@@ -20,6 +20,7 @@
     "3 unreachable, nothing was changed; 4 in doubt, repeat the command."
 )
 MAX_SHEET_NUMBER = (1 << 53) - 1
+FLEET_TIMEOUT_S = 2.0
 
 
 def main(arguments: list[str] | None = None) -> int:
@@ -65,6 +66,22 @@
     )
     add_access_options(status)
     status.add_argument("--service", help="only this service")
+    fleet = _add_command(
+        commands,
+        "fleet",
+        "sum up the metrics of many processes and name outliers",
+        _fleet.show_fleet,
+    )
+    fleet.add_argument(
+        "file", metavar="FILE", help="ip:port/path of metrics, one a line"
+    )
+    fleet.add_argument(
+        "--timeout",
+        type=positive_seconds,
+        default=FLEET_TIMEOUT_S,
+        metavar="S",
+        help="give up a process after S seconds",
+    )
     drain = _add_command(
         commands, "drain", "drain an entry host", _with_system(_control.drain)
     )
--- a/chivescale/cli/tests/cli.feature
+++ b/chivescale/cli/tests/cli.feature
@@ -37,6 +37,9 @@
       | data check .                              | 1    | holds no control data |
       | data check none                           | 2    | no such folder        |
       | data snapshot .                           | 2    | holds no control data |
+      | fleet none.txt                            | 2    | none.txt: No such file |
+      | fleet words.txt                           | 2    | words.txt: line 2: hello is not ip:port/path |
+      | fleet nobody.txt --timeout 0.3            | 3    | 127.0.0.1:1: Cannot connect |
       | no-such-command                           | 2    |                       |
 
   Scenario Outline: Hashing a secret
@@ -94,3 +97,18 @@
     Then the exit code is 1 and "storage_corrupt" is printed
     When the operator runs "data snapshot folder"
     Then the exit code is 1 and "storage_corrupt" is printed
+
+  Scenario Outline: A fleet summed up
+    Given processes that count <failed> failed statements
+    When the operator sums up the fleet
+    Then the exit code is <code> and "<text>" is printed
+
+    Examples: a dash is a process that does not answer; bad is no metrics page
+      | failed              | code | text                            |
+      | 3 4 5               | 0    | statements_total  failed  12     4       5        127 |
+      | 3 4 5               | 0    | 3 of 3 processes answered       |
+      | 3 4 500 5           | 0    | outliers: chivescale_statements_total failed: 127 |
+      | 30 40 100 50        | 0    | 4 of 4 processes answered       |
+      | 3 4 -               | 1    | 2 of 3 processes answered       |
+      | 3 bad 4             | 1    | unreadable page                 |
+      | 0 0 0 30            | 0    | outliers: chivescale_statements_total failed: 127 |
--- a/chivescale/cli/tests/steps/cli_steps.py
+++ b/chivescale/cli/tests/steps/cli_steps.py
@@ -49,6 +49,8 @@
     "bad.toml": SETTINGS.replace("host", "hosts"),
     "secret": SECRET.decode(),
     "short": "short",
+    "words.txt": "# metrics\nhello\n",
+    "nobody.txt": "127.0.0.1:1\n",
 }
 ACCESS = "--control 127.0.0.1:1 --secret-file secret --timeout 0.3"
 
