Read metrics pages of a fleet to their end

Cause: reading the diff showed that aiohttp returns the first part of a long page only. Change: the whole page is read. Test: cli.feature, "A long metrics page is read to its end"; fails before.

--- a/chivescale/cli/_fleet.py
+++ b/chivescale/cli/_fleet.py
@@ -21,9 +21,8 @@
 DEFAULT_PATH = "/metrics"
 # Addresses fetched at the same time.
 MAX_CONCURRENT = 32
-MAX_PAGE_BYTES = 4 << 20
-# A process is an outlier if a counter exceeds this multiple of the median of
-# all processes that count anything, and exceeds it by this many events.
+# A process is an outlier if its counter exceeds this multiple of the median of
+# all processes, and the median itself by this many events.
 OUTLIER_FACTOR = 4.0
 MIN_OUTLIER_EXCESS = 20.0
 
@@ -140,7 +139,7 @@
             if answer.status != 200:
                 reason = f"status {answer.status}"
                 return Failure(ErrorKind.UNREACHABLE, reason)
-            page = await answer.content.read(MAX_PAGE_BYTES)
+            page = await answer.read()
     except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as err:
         return Failure(ErrorKind.UNREACHABLE, str(err) or repr(err))
     return parse_page(page.decode(errors="replace"))
--- a/chivescale/cli/tests/cli.feature
+++ b/chivescale/cli/tests/cli.feature
@@ -112,3 +112,8 @@
       | 3 4 -               | 1    | 2 of 3 processes answered       |
       | 3 bad 4             | 1    | unreadable page                 |
       | 0 0 0 30            | 0    | outliers: chivescale_statements_total failed: 127 |
+
+  Scenario: A long metrics page is read to its end
+    Given a process with 20000 series of which the last counts 4711
+    When the operator sums up the fleet
+    Then the exit code is 0 and "s020000  4711" is printed
--- a/chivescale/cli/tests/steps/fleet_steps.py
+++ b/chivescale/cli/tests/steps/fleet_steps.py
@@ -45,6 +45,16 @@
     (context.folder / "fleet.txt").write_text("\n".join(lines) + "\n")
 
 
+@given("a process with {count:d} series of which the last counts {value:d}")
+def long_page(context, count, value):
+    usual_files(context)
+    name = "chivescale_statements_total"
+    page = "".join(f'{name}{{label="s{n:06d}"}} 1\n' for n in range(1, count))
+    page += f'{name}{{label="s{count:06d}"}} {value}\n'
+    address = serve(context, page)
+    (context.folder / "fleet.txt").write_text(address + "\n")
+
+
 @when("the operator sums up the fleet")
 def sum_up(context):
     run_command(context, ["fleet", "fleet.txt", "--timeout", "2"])
