Plan the gateways of many services in time that a host has

Change: one call plans all services; above 64 services each takes the next hosts on a consistent-hashing ring of each zone, up to 64 the plan is as before. A host without a configuration doubles its time-outs and pauses after eight failures. The log line of a plan names 12 services at most. Tests: gateway.feature "Many databases ...", start.feature "Herd of starts ...".

--- a/chivescale/gateway/__init__.py
+++ b/chivescale/gateway/__init__.py
@@ -17,7 +17,7 @@
     RunRequest,
     RunResponse,
 )
-from chivescale.gateway._plan import select_gateways
+from chivescale.gateway._plan import assign_gateways
 
 __all__ = [
     "MAX_FRAME_BYTES",
@@ -31,5 +31,5 @@
     "RollbackRequest",
     "RunRequest",
     "RunResponse",
-    "select_gateways",
+    "assign_gateways",
 ]
--- a/chivescale/gateway/tests/gateway.feature
+++ b/chivescale/gateway/tests/gateway.feature
@@ -38,6 +38,18 @@
     Given 194 hosts in 6 zones and 4 services whose endpoints accept 68, 5 a gateway
     Then a service loses 1 gateway at most and gains one for each lost
 
+  Scenario Outline: Many databases: a host plans the gateways of all
+    Given <hosts> hosts in 6 zones and <services> services
+    Then a plan takes less than 2 s of processor time
+    And each service has 2 or more gateways in each zone
+    And no host works for more than 3 times the mean
+    And the end of a host changes only the services that it worked for
+
+    Examples: 3.5 services a host, as at the full size
+      | hosts | services |
+      | 100   | 350      |
+      | 300   | 1045     |
+
   Scenario: Few hosts are assigned no service
     Given 106 hosts and 4 services whose endpoints accept 300
     When the endpoints accept 63
--- a/chivescale/gateway/tests/steps/gateway_plan_steps.py
+++ b/chivescale/gateway/tests/steps/gateway_plan_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import random
+import time
 
 from behave import given, then, when
 
@@ -12,7 +13,7 @@
     GatewayClient,
     GatewayResponse,
     Pong,
-    select_gateways,
+    assign_gateways,
 )
 from chivescale.messages import decode
 from chivescale.relay._forwarder import Forwarder
@@ -27,12 +28,9 @@
     connections: int,
     min_connections: int = MIN_GATEWAY_CONNECTIONS,
 ) -> dict[str, frozenset[str]]:
-    return {
-        service: select_gateways(
-            service, SERVICES, hosts, connections, 1, min_connections
-        )
-        for service in SERVICES
-    }
+    return assign_gateways(
+        dict.fromkeys(SERVICES, connections), hosts, 1, min_connections
+    )
 
 
 @given("{count:d} hosts and 4 services whose endpoints accept {connections:d}")
@@ -165,3 +163,45 @@
 def reaches_service(context, reaches):
     found = asyncio.run(context.forwarder.can_reach("ledger"))
     assert found == (reaches == "reaches"), found
+
+
+@given("{count:d} hosts in 6 zones and {services:d} services")
+def many_services(context, count, services):
+    context.hosts = {f"entry-{n}": ZONES[n % len(ZONES)] for n in range(count)}
+    context.accepted = {f"service-{n}": 68 for n in range(services)}
+    context.replan = lambda names: assign_gateways(
+        context.accepted, {n: context.hosts[n] for n in names}, 1, 5
+    )
+
+
+@then("a plan takes less than {seconds:g} s of processor time")
+def plan_time(context, seconds):
+    started = time.process_time()
+    context.plan = context.replan(context.hosts)
+    assert time.process_time() - started < seconds
+
+
+@then("no host works for more than {factor:g} times the mean")
+def balanced(context, factor):
+    work = collections.Counter(
+        host for names in context.plan.values() for host in names
+    )
+    mean = sum(work.values()) / len(context.hosts)
+    assert max(work.values()) <= factor * mean, (max(work.values()), mean)
+
+
+@then("each service has {least:d} or more gateways in each zone")
+def in_each_zone(context, least):
+    context.plan = context.plan or context.replan(context.hosts)
+    per_zone(context, least, len(context.hosts))
+
+
+@then("the end of a host changes only the services that it worked for")
+def ring_movement(context):
+    removed = next(iter(context.hosts))
+    after = context.replan(n for n in context.hosts if n != removed)
+    for service, names in context.plan.items():
+        if removed not in names:
+            assert after[service] == names, service
+        else:
+            assert len(after[service] & names) == len(names) - 1, service
--- a/chivescale/relay/_coordinator_watcher.py
+++ b/chivescale/relay/_coordinator_watcher.py
@@ -36,6 +36,11 @@
 # packets are lost, and TCP repeats them only after a second.
 FIRST_CONNECT_TIMEOUT_S = 0.12
 FIRST_RETRY_DELAY_S = 0.04
+# After this many failures the coordinators are more likely overloaded than
+# without power. Delay and time-out then double with each failure, because
+# hundreds of hosts that keep connecting would keep up the overload.
+QUICK_FIRST_POLLS = 8
+MAX_FIRST_RETRY_DELAY_S = 1.0
 # Such a host waits this long at one coordinator for its contact to a quorum.
 FIRST_POLL_MS = 350
 # A lease that ends sooner than this needs further grants at once.
@@ -48,6 +53,28 @@
 REACHABILITY_TIMEOUT_S = 0.15
 
 
+def first_poll_pacing(failures: int) -> tuple[float, float]:
+    """Return how long a host without a configuration connects and pauses.
+
+    Parameters
+    ----------
+    failures : int
+        Polls that failed since the start.
+
+    Returns
+    -------
+    tuple of float
+        Connection time-out of the next poll and the pause before it, in
+        seconds.
+    """
+    # The exponent is capped to avoid overflow.
+    factor = 2.0 ** min(max(0, failures - QUICK_FIRST_POLLS), 16)
+    return (
+        min(CONNECT_TIMEOUT_S, FIRST_CONNECT_TIMEOUT_S * factor),
+        min(MAX_FIRST_RETRY_DELAY_S, FIRST_RETRY_DELAY_S * factor),
+    )
+
+
 class CoordinatorWatcher:
     """Long-polls one coordinator and fails over to another one.
 
@@ -65,6 +92,8 @@
     long_poll : bool
         Whether the next request may be held; False right after a switch, so
         that the new coordinator responds immediately.
+    first_failures : int
+        Polls that failed before the first configuration arrived.
     """
 
     def __init__(self, host):
@@ -80,6 +109,7 @@
         self.last_updated_at = now()
         self.retry_same_zone_at = 0.0
         self.long_poll = False
+        self.first_failures = 0
         self.tasks: set[asyncio.Task] = set()
 
     async def run(self) -> None:
@@ -116,8 +146,12 @@
         """Turn to the next coordinator after a short pause."""
         self._set_connected(False, address, reason)
         self._switch_coordinator()
-        started = self.host.catalog is not None
-        await asyncio.sleep(RETRY_DELAY_S if started else FIRST_RETRY_DELAY_S)
+        delay_s = RETRY_DELAY_S
+        if self.host.catalog is None:
+            self.first_failures += 1
+            _, pause_s = first_poll_pacing(self.first_failures)
+            delay_s = pause_s * self.host.rng.uniform(0.5, 1.5)
+        await asyncio.sleep(delay_s)
 
     def _leases_suffice(self) -> bool:
         """Return whether the leases last until the next long poll ends."""
@@ -135,7 +169,7 @@
             wait_ms, margin_s = LEASE_POLL_MS, LEASE_POLL_MARGIN_S
         if catalog is None:
             wait_ms = FIRST_POLL_MS
-            connect_timeout_s = FIRST_CONNECT_TIMEOUT_S
+            connect_timeout_s, _ = first_poll_pacing(self.first_failures)
         elif not self.long_poll:
             wait_ms = 0
         request = WatchRequest(
--- a/chivescale/relay/_forwarder.py
+++ b/chivescale/relay/_forwarder.py
@@ -26,6 +26,8 @@
 
 # Maximum number of gateways tried for one statement.
 MAX_GATEWAYS = 3
+# Services named in one log line.
+MAX_LOGGED_SERVICES = 12
 # Maximum number of other hosts tried if this host lacks a connection or a
 # lease. Those that lack it too refuse at once.
 MAX_OTHER_HOSTS = 6
@@ -127,14 +129,18 @@
             )
         if gateways != self.gateways:
             self.gateways = gateways
+            connected = [
+                s for s, names in gateways.items() if self.name in names
+            ]
             log_event(
                 "gateways",
                 hosts=len(records),
-                connected_to=",".join(
-                    s for s, names in gateways.items() if self.name in names
-                ),
+                services=len(gateways),
+                connected_to=",".join(connected[:MAX_LOGGED_SERVICES]),
+                connected=len(connected),
                 counts=",".join(
-                    f"{s}:{len(names)}" for s, names in gateways.items()
+                    f"{service}:{len(gateways[service])}"
+                    for service in connected[:MAX_LOGGED_SERVICES]
                 ),
             )
 
--- a/chivescale/relay/_host.py
+++ b/chivescale/relay/_host.py
@@ -9,7 +9,7 @@
 from chivescale.clock import now
 from chivescale.dialect import CallerDialect, EndpointDialect
 from chivescale.errors import ErrorKind, Failure, is_failure
-from chivescale.gateway import select_gateways
+from chivescale.gateway import assign_gateways
 from chivescale.httpio import HttpClient
 from chivescale.messages import EndpointUpdate, EntryHostRecord
 from chivescale.relay._coordinator_watcher import CoordinatorWatcher
@@ -350,20 +350,17 @@
         self._assign_gateways()
 
     def _assign_gateways(self) -> None:
-        services = tuple(self.max_connections)
         zones = {h.name: h.zone for h in self.entry_hosts if h.address}
         zones[self.settings.name] = self.settings.zone
-        gateways = {
-            service: select_gateways(
-                service,
-                services,
-                zones,
-                _available_connections(self.max_connections[service]),
-                self.settings.min_direct_connections,
-                self.settings.min_gateway_connections,
-            )
-            for service in services
-        }
+        gateways = assign_gateways(
+            {
+                service: _available_connections(accepted)
+                for service, accepted in self.max_connections.items()
+            },
+            zones,
+            self.settings.min_direct_connections,
+            self.settings.min_gateway_connections,
+        )
         self.executor.update(self.entry_hosts, gateways)
         for endpoint in self.by_id.values():
             self._update_pool_limits(endpoint)
--- a/chivescale/relay/tests/steps/start_steps.py
+++ b/chivescale/relay/tests/steps/start_steps.py
@@ -11,6 +11,7 @@
 from chivescale.errors import ErrorKind, Failure
 from chivescale.messages import WatchAnswer, encode
 from chivescale.relay import RelayHost, RelaySettings
+from chivescale.relay._coordinator_watcher import first_poll_pacing
 
 ROUND_TRIP_S = 0.005
 SEEDS = ("c1", "c2", "c3")
@@ -75,3 +76,17 @@
     # The order in which coordinators are asked is random.
     times = [asyncio.run(work(seed)) for seed in range(6)]
     assert max(times) * 1000 <= ms, times
+
+
+@then(
+    "a host without a configuration polls at most {count:d} times in"
+    " {seconds:d} s"
+)
+def polls_at_most(context, count, seconds):
+    elapsed_s, polls = 0.0, 0
+    while elapsed_s < seconds:
+        polls += 1
+        timeout_s, _ = first_poll_pacing(polls - 1)
+        _, pause_s = first_poll_pacing(polls)
+        elapsed_s += timeout_s + pause_s
+    assert polls <= count, polls
