Hold the first poll of a host until the log is applied

Its log shows that the poll was answered between the contact to a quorum and the application of the log, so without a configuration; the host would have asked again. Change: the poll of a host without a configuration is answered early only with one.

--- a/chivescale/coordinator/_distributor.py
+++ b/chivescale/coordinator/_distributor.py
@@ -101,6 +101,10 @@
             # A host without a configuration cannot use an answer that may be
             # out of date. Others then turn to another coordinator.
             return request.version >= 0
+        if request.version < 0:
+            # After a restart of all members there is contact before the log
+            # is applied.
+            return host.state.catalog.version > request.version
         return (
             request.boot != host.boot_id
             or request.revision < host.registry.revision
