Send many endpoints to entry hosts in parts

The endpoints, some 260 KB of JSON, went whole to a host at its start and at each change of coordinator; over a full link of 1 to 2 Mbit/s that took longer than the time-out of a poll, the host turned to another coordinator and got them whole again. Change: an answer holds 100 endpoints at most, in the order of their changes, and its revision is that of the last one, so that the host asks for the rest at once and keeps what it has. Test: recall.feature "Many endpoints reach a host in parts ..."; fails before with 250 in one answer.

--- a/chivescale/coordinator/_distributor.py
+++ b/chivescale/coordinator/_distributor.py
@@ -33,6 +33,9 @@
 # file, in case that their files are lost.
 RECALL_SHARE_S = 3.0
 RECALL_INTERVAL_S = 0.25
+# More endpoints than this are sent in several answers, each of which a host
+# behind a narrow link receives within the time-out of its poll.
+MAX_ENDPOINTS_PER_ANSWER = 100
 # Minimum interval between writes of the file.
 SAVE_INTERVAL_S = 2.0
 # Coordinators that have to know of a draining endpoint, including this one, so
@@ -124,18 +127,24 @@
         hosts_known = same_process and request.hosts_revision == hosts.revision
         catalog = host.state.catalog
         time = now()
+        news = sorted(
+            host.registry.changed_since(since),
+            key=lambda entry: entry.revision,
+        )
+        part = news[:MAX_ENDPOINTS_PER_ANSWER]
+        revision = host.registry.revision
+        if len(part) < len(news):
+            # The host asks for the rest at once.
+            revision = part[-1].revision
         return WatchAnswer(
             boot=host.boot_id,
-            revision=host.registry.revision,
+            revision=revision,
             catalog=(
                 host.state.compressed_catalog
                 if request.version < catalog.version
                 else b""
             ),
-            endpoints=tuple(
-                _endpoint_news(entry, time)
-                for entry in host.registry.changed_since(since)
-            ),
+            endpoints=tuple(_endpoint_news(entry, time) for entry in part),
             members={
                 address: self.zones.get(address, "")
                 for address in self._members()
--- a/chivescale/coordinator/tests/recall.feature
+++ b/chivescale/coordinator/tests/recall.feature
@@ -58,3 +58,8 @@
     Then the poll has not been woken
     When e2 tells the coordinator of the poll that it is the primary
     Then the poll is answered with the claim of e2
+
+  Scenario: Many endpoints reach a host in parts that its link carries
+    Given 247 more endpoints
+    When a host that knows nothing polls until it knows all 250
+    Then it needed 3 polls of at most 100 endpoints, none of which waited
--- a/chivescale/coordinator/tests/steps/recall_steps.py
+++ b/chivescale/coordinator/tests/steps/recall_steps.py
@@ -15,6 +15,8 @@
 SAVE_WAIT_S = 5.0
 LATER_BORN_MS = 2000
 QUORUM_CONTACT_S = 0.5
+# A poll that waits is checked this often.
+POLL_CHECK_S = 0.25
 
 
 def heartbeat(endpoint: str, port: int, **changes) -> EndpointBeat:
@@ -275,3 +277,50 @@
     answer = run(context, work())
     assert answer.age_s < QUORUM_CONTACT_S, answer.age_s
     assert answer.catalog
+
+
+@given("{count:d} more endpoints")
+def more_endpoints(context, count):
+    for number in range(4, 4 + count):
+        context.group[0].host.registry.record_heartbeat(
+            heartbeat(f"e{number}", number), now()
+        )
+
+
+@when("a host that knows nothing polls until it knows all {count:d}")
+def polls_until_complete(context, count):
+    async def work():
+        distributor = context.group[0].host.distributor
+        host = EntryHostRecord("h1", "z1", "127.0.0.1:9")
+        boot, revision, known = "", -1, set()
+        context.parts = []
+        while len(known) < count:
+            request = WatchRequest(
+                host,
+                leaving=False,
+                hosts_revision=distributor.hosts.revision,
+                boot=boot,
+                revision=revision,
+                version=0,
+                suspects=(),
+                wait_ms=900,
+            )
+            started = now()
+            answer = await distributor.watch(request)
+            found = {u.beat.endpoint for u in answer.endpoints}
+            assert found, "an answer without news"
+            context.parts.append((len(found), now() - started))
+            known |= found
+            boot, revision = answer.boot, answer.revision
+
+    run(context, work())
+
+
+@then(
+    "it needed {polls:d} polls of at most {size:d} endpoints, none of which"
+    " waited"
+)
+def parts(context, polls, size):
+    assert len(context.parts) == polls, context.parts
+    for count, duration_s in context.parts:
+        assert count <= size and duration_s < POLL_CHECK_S, context.parts
