--- a/review/2/case.py
+++ b/review/2/case.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import pathlib
+import signal
 import sys
 
 FOLDER = pathlib.Path(__file__).resolve().parent
@@ -86,6 +87,8 @@
 
 def main() -> int:
     """Run the case."""
+    # A time-out of the script also ends the processes that were started.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     record = Record(FOLDER / "record.txt")
     try:
         code = asyncio.run(run(record))
