Log what a coordinator without a quorum knows

A coordinator now reports its standing, log, voters and granted votes once contact with a quorum has been missing for 3 s, again after doubling intervals of at most 60 s, and when contact returns. No decision changes.

--- a/chivescale/coordinator/_host.py
+++ b/chivescale/coordinator/_host.py
@@ -16,6 +16,7 @@
 from chivescale.catalog import Catalog, StoreResult
 from chivescale.clock import now
 from chivescale.coordinator._distributor import Distributor
+from chivescale.coordinator._group_monitor import GroupMonitor
 from chivescale.coordinator._leases import LeaseManager
 from chivescale.coordinator._membership import MembershipManager
 from chivescale.coordinator._messages import (
@@ -128,6 +129,7 @@
         self.leases = LeaseManager(self)
         self.promoter = Promoter(self, dialect, authority)
         self.membership = MembershipManager(self)
+        self.group_monitor = GroupMonitor(self)
         self.tasks: list[asyncio.Task] = []
         self.background: set[asyncio.Task] = set()
         self.handlers = {
@@ -177,6 +179,7 @@
                 ("membership", self.membership),
                 ("distributor", self.distributor),
                 ("leases", self.leases),
+                ("group_monitor", self.group_monitor),
             )
         ]
 
