Show that a coordinator far behind never becomes a voter

The leader logs 'status 413' for the successor about twice a second.

The feature repeats it with four coordinators over loopback. Two rows fail with 'the new coordinator votes within 8 s'; the third cannot even store an entry of 800 KB through a follower. The row of a short log passes.

--- a/chivescale/coordinator/tests/steps/disk_steps.py
+++ b/chivescale/coordinator/tests/steps/disk_steps.py
@@ -28,8 +28,10 @@
 
 
 def decode_document(document: bytes) -> Catalog | Failure:
+    # A document can be made larger by bytes behind this sign.
+    content, _, _ = document.partition(b"#")
     try:
-        return Catalog(msgspec.json.decode(document, type=int), (), ())
+        return Catalog(msgspec.json.decode(content, type=int), (), ())
     except msgspec.MsgspecError as err:
         return Failure(ErrorKind.BAD_REQUEST, str(err))
 
@@ -37,7 +39,14 @@
 class Coordinator:
     """One coordinator with its server and its disk."""
 
-    def __init__(self, address: str, seeds: tuple[str, ...], folder: str):
+    def __init__(
+        self,
+        address: str,
+        seeds: tuple[str, ...],
+        folder: str,
+        *,
+        may_form: bool = True,
+    ):
         self.address = address
         self.full = False
         self.host = CoordinatorHost(
@@ -47,7 +56,7 @@
                 address=address,
                 seeds=seeds,
                 data_dir=str(pathlib.Path(folder) / address),
-                may_form=True,
+                may_form=may_form,
             ),
             HttpClient(),
             None,
@@ -107,6 +116,7 @@
 def start(context, count: int) -> None:
     context.loop = asyncio.new_event_loop()
     folder = tempfile.TemporaryDirectory()
+    context.folder = folder.name
     seeds = tuple(free_address() for _ in range(count))
     context.group = [Coordinator(s, seeds, folder.name) for s in seeds]
     context.version = 0
@@ -148,10 +158,10 @@
     )
 
 
-async def store(context, member: Coordinator):
+async def store(context, member: Coordinator, padding: bytes = b""):
     """Store the next version through a coordinator."""
     context.version += 1
-    document = str(context.version).encode()
+    document = str(context.version).encode() + padding
     catalog = decode_document(document)
     return await member.host.store_catalog(catalog, document)
 
