Ask again for admission when a leader is silent

Cause: a host without a vote gave up before it dropped its leader, and it called nobody. If the leader that admitted it is lost before the change is committed, the next leader does not know the host, which waits for good: the same outcome, a successor that never counts, by another way.

Evidence: both scenarios 'A learner ...' of agreement.feature failed before ('c5 names no leader': c3; the new leader has not seen c5).

Change: after an election timeout without a leader, a host without a vote drops it and asks the voters to be admitted, with a request that is never granted. Members that know the host ignore it.

--- a/chivescale/agreement/_election.py
+++ b/chivescale/agreement/_election.py
@@ -35,6 +35,9 @@
 # working leader.
 RETRY_MIN_HEARTBEATS = 1.0
 RETRY_MAX_HEARTBEATS = 3.0
+# Term of the requests of a host without a vote. It is never granted; members
+# that do not know the host record it, so that the leader admits it.
+ASK_FOR_ADMISSION = 0
 
 
 class Election(msgspec.Struct):
@@ -107,13 +110,16 @@
 
 
 def start_pre_vote(machine, now: float) -> None:
-    """Start a pre-vote among the voters."""
-    if machine.formed:
+    """Start a pre-vote among the voters, or ask them to be admitted."""
+    campaigns = _can_campaign(machine)
+    if machine.formed and campaigns:
         schedule_retry(machine, now)
     else:
         # Members outside a formed group retry at a lower rate.
         reset_election_timer(machine, now)
-    if not _can_campaign(machine):
+    if not campaigns:
+        machine.leader = None
+        _request_votes(machine, True, ASK_FOR_ADMISSION, None)
         return
     machine.role = Role.PRE_CANDIDATE
     machine.leader = None
--- a/chivescale/agreement/tests/agreement.feature
+++ b/chivescale/agreement/tests/agreement.feature
@@ -126,6 +126,23 @@
     And every member is started
     Then all members agree and no command is lost
 
+  # Guards against a host that stays outside the group for good, as it waits
+  # for a leader that does not know it.
+  Scenario: A learner whose admission was lost with its leader asks again
+    Given a formed group with 20 commands
+    When a host c5 is admitted by a leader that reaches no other member
+    And members leader crash
+    And all links work again
+    And 3 s pass
+    Then the new leader knows that c5 asks to be admitted
+
+  Scenario: A learner names no leader that is silent
+    Given a formed group with 20 commands
+    When a host c5 is admitted by a leader that reaches no other member
+    And members leader crash
+    And 3 s pass
+    Then c5 names no leader
+
   Scenario: A leader returns after a long isolation
     Given a formed group with 20 commands
     When the leader is isolated
--- a/chivescale/agreement/tests/steps/agreement_steps.py
+++ b/chivescale/agreement/tests/steps/agreement_steps.py
@@ -183,6 +183,38 @@
     return found is not None and found.voter
 
 
+@when("a host c5 is admitted by a leader that reaches no other member")
+def admit_alone(context):
+    world = context.world
+    leader = context.roles["leader"]
+    world.add_host("c5", NAMES)
+    assert world.run(2.0, lambda: _seen(world, "c5"))
+    world.isolate(leader)
+    world.change(ag.ReplaceMember, "c5")
+    c5 = world.hosts["c5"].machine
+    assert world.run(0.2, lambda: c5.configuration.find("c5"))
+    assert c5.leader.name == leader
+    # A follower forgets a request once it has passed it on to the leader.
+    for host in world.hosts.values():
+        host.machine.seen.clear()
+
+
+@when("all links work again")
+def links_work(context):
+    context.world.blocked_links.clear()
+
+
+@then("the new leader knows that c5 asks to be admitted")
+def c5_asks(context):
+    assert _seen(context.world, "c5")
+
+
+@then("c5 names no leader")
+def c5_names_none(context):
+    machine = context.world.hosts["c5"].machine
+    assert machine.leader_address == "", machine.leader_address
+
+
 @when("a host c5 with all members in its settings is started and admitted")
 def add_member(context):
     context.world.add_host("c5", (*NAMES, "c5"))
