Count contact of a member only while it has all committed entries

The successor got heartbeats but not the log; entry hosts of its zone polled it and kept an old configuration.

Cause: a follower counted every message of its leader as contact with a quorum, so that its answers to entry hosts looked fresh although committed entries were missing.

Change: the age counts from the last message that named no committed entry beyond those that the member knows. Entry hosts already turn to another coordinator when the age is too high.

--- a/chivescale/agreement/_follower.py
+++ b/chivescale/agreement/_follower.py
@@ -46,6 +46,8 @@
         _store_entry(machine, entry)
     last = prev + len(request.entries)
     machine.commit = max(machine.commit, min(request.commit, last))
+    if machine.commit >= request.commit:
+        machine.current_at = now
     _reply(machine, request, True, prev, last)
 
 
--- a/chivescale/agreement/_machine.py
+++ b/chivescale/agreement/_machine.py
@@ -108,6 +108,9 @@
         self.leader: Member | None = None
         self.term_leader: Member | None = None
         self.leader_contact_at: float | None = None
+        # Last message of a leader that named no committed entry beyond those
+        # that this member knows.
+        self.current_at: float | None = None
         self.election_due: float | None = None
         self.last_step_at = 0.0
         self.election_deferred = False
@@ -159,12 +162,13 @@
     def contact_age_s(self, now: float) -> float:
         """Return the time since the last contact with a quorum, in seconds.
 
-        A follower counts the last message of its leader.
+        A follower counts the last message of its leader, and only while it
+        has all entries that were committed then.
         """
         if self.role is Role.LEADER:
             contact = _replication.quorum_contact(self, now)
         else:
-            contact = self.leader_contact_at if self.leader else None
+            contact = self.current_at if self.leader else None
         return float("inf") if contact is None else now - contact
 
     def next_wakeup(self) -> float | None:
--- a/chivescale/agreement/tests/agreement.feature
+++ b/chivescale/agreement/tests/agreement.feature
@@ -143,6 +143,22 @@
     And 3 s pass
     Then c5 names no leader
 
+  # Guards against an old configuration from a member that hears its leader
+  # and does not get the log.
+  Scenario Outline: The contact of a member that lacks committed entries
+    Given a formed group
+    When members follower crash
+    And 30 commands of 2000 bytes are proposed
+    And messages above <limit> bytes are lost
+    And every member is started
+    And 3 s pass
+    Then the contact of member follower with a quorum is <contact>
+
+    Examples:
+      | limit | contact |
+      | 1500  | old     |
+      | 12000 | recent  |
+
   Scenario: A leader returns after a long isolation
     Given a formed group with 20 commands
     When the leader is isolated
--- a/chivescale/agreement/tests/steps/agreement_steps.py
+++ b/chivescale/agreement/tests/steps/agreement_steps.py
@@ -141,6 +141,14 @@
     context.world.max_message_bytes = size
 
 
+@then("the contact of member {name} with a quorum is {expected}")
+def contact_is(context, name, expected):
+    (host,) = _named(context, name)
+    age_s = host.machine.contact_age_s(context.world.now * host.rate)
+    recent = age_s < TIMING.election_timeout_s
+    assert recent == (expected == "recent"), age_s
+
+
 @when("a command is acknowledged by the leader")
 def command_acknowledged(context):
     world = context.world
