--- a/chivescale/cli/_health.py
+++ b/chivescale/cli/_health.py
@@ -1,16 +1,13 @@
 """Health checks on a snapshot of the system."""
 
 import collections.abc
-import typing
 
+from chivescale.cli._snapshot import SystemSnapshot
 from chivescale.errors import is_failure
 from chivescale.messages import ServiceRecord
 
-if typing.TYPE_CHECKING:
-    from chivescale.cli._status import SystemSnapshot
 
-
-def find_problems(snapshot: "SystemSnapshot") -> list[str]:
+def find_problems(snapshot: SystemSnapshot) -> list[str]:
     """Return one line for each problem that needs an operator."""
     return [
         *_control_problems(snapshot),
@@ -21,7 +18,7 @@
 
 
 def _control_problems(
-    snapshot: "SystemSnapshot",
+    snapshot: SystemSnapshot,
 ) -> collections.abc.Iterator[str]:
     answers = [
         answer for _, answer in snapshot.control if not is_failure(answer)
@@ -44,7 +41,7 @@
 
 
 def _host_problems(
-    snapshot: "SystemSnapshot",
+    snapshot: SystemSnapshot,
 ) -> collections.abc.Iterator[str]:
     if not snapshot.hosts:
         yield "no entry host is known"
@@ -56,7 +53,7 @@
 
 
 def _service_problems(
-    snapshot: "SystemSnapshot",
+    snapshot: SystemSnapshot,
 ) -> collections.abc.Iterator[str]:
     alive = {
         record.endpoint: answer
@@ -104,7 +101,7 @@
 
 
 def _endpoint_problems(
-    snapshot: "SystemSnapshot",
+    snapshot: SystemSnapshot,
 ) -> collections.abc.Iterator[str]:
     primaries = {item.primary for item in snapshot.state.services}
     for record, answer in snapshot.endpoints:
--- a/chivescale/cli/_status.py
+++ b/chivescale/cli/_status.py
@@ -12,10 +12,10 @@
     format_table,
     report_failure,
 )
+from chivescale.cli._snapshot import EntryAnswer, SystemSnapshot
 from chivescale.cli._system import System
 from chivescale.errors import ErrorKind, Failure, is_failure
 from chivescale.messages import (
-    EndpointRecord,
     EndpointStatus,
     HostRecord,
     Status,
@@ -27,26 +27,6 @@
 MAX_CONCURRENT_QUERIES = 64
 
 
-class EntryAnswer(msgspec.Struct, frozen=True):
-    """Part of the status of an entry host that the command shows."""
-
-    index: int
-    sheet: int = 0
-    ready: bool = False
-    draining: bool = False
-    callers: int = 0
-    transactions: int = 0
-
-
-class SystemSnapshot(msgspec.Struct):
-    """Status of all processes, queried at about the same time."""
-
-    state: WatchReply
-    control: list[tuple[str, Status | Failure]]
-    hosts: list[tuple[HostRecord, EntryAnswer | Failure]]
-    endpoints: list[tuple[EndpointRecord, EndpointStatus | Failure]]
-
-
 async def show_status(system: System, options: argparse.Namespace) -> Report:
     """Show hosts, services, endpoints, workspaces and problems."""
     snapshot = await _take_snapshot(system, options.service)
--- a/chivescale/control/_routes.py
+++ b/chivescale/control/_routes.py
@@ -4,7 +4,8 @@
 import typing
 
 from chivescale import clock
-from chivescale.agreement import Role
+from chivescale.agreement import AgreementHost, Role
+from chivescale.control._leadership import Leadership
 from chivescale.errors import ErrorKind, Failure, is_failure
 from chivescale.messages import (
     Accepted,
@@ -23,13 +24,12 @@
     WatchReply,
     encode,
 )
+from chivescale.settings import Settings
 from chivescale.sheet import digest, parse_sheet
+from chivescale.state import ClusterState
 from chivescale.telemetry import log_event
 from chivescale.transport import Request, Route
 
-if typing.TYPE_CHECKING:
-    from chivescale.control._host import ControlHost
-
 # Fits a sheet of 4 MiB that is encoded as a JSON string.
 SHEET_BODY_LIMIT_BYTES = 8 << 20
 
@@ -38,7 +38,22 @@
 MAX_WATCH_WAIT_S = 30.0
 
 
-def make_routes(host: "ControlHost") -> list[Route]:
+class RoutedHost(typing.Protocol):
+    """What the routes need of a control host."""
+
+    settings: Settings
+    agreement: AgreementHost
+    state: ClusterState
+    leadership: Leadership | None
+
+    async def watch(self, after: int, deadline: float) -> WatchReply: ...
+
+    def not_leader_failure(self) -> Failure: ...
+
+    def log_refused(self, operation: str, failure: Failure) -> None: ...
+
+
+def make_routes(host: RoutedHost) -> list[Route]:
     """Return the routes of a control host (section 3.1 of the design)."""
 
     def leader_only(handler):
@@ -88,9 +103,7 @@
     ]
 
 
-async def _watch(
-    host: "ControlHost", request: Request
-) -> WatchReply | Failure:
+async def _watch(host: RoutedHost, request: Request) -> WatchReply | Failure:
     try:
         after = int(request.query.get("after", 0))
         wait_s = int(request.query.get("wait_ms", 0)) / 1000
@@ -110,7 +123,7 @@
     return await host.watch(after, deadline)
 
 
-async def _status(host: "ControlHost", request: Request) -> Status:
+async def _status(host: RoutedHost, request: Request) -> Status:
     agreement, state = host.agreement, host.state
     machine = agreement.machine
     role = str(machine.role) if machine else "follower"
@@ -129,7 +142,7 @@
     )
 
 
-def _members(host: "ControlHost") -> tuple[MemberStatus, ...]:
+def _members(host: RoutedHost) -> tuple[MemberStatus, ...]:
     """Return the members; replication progress is known to the leader only."""
     agreement, machine = host.agreement, host.agreement.machine
     progress = {}
@@ -157,7 +170,7 @@
 
 
 async def _show_sheet(
-    host: "ControlHost", request: Request
+    host: RoutedHost, request: Request
 ) -> SheetAnswer | Failure:
     confirmed = await host.agreement.confirm_read(request.deadline)
     if is_failure(confirmed):
@@ -186,7 +199,7 @@
 
 
 async def _upload_sheet(
-    host: "ControlHost", request: Request
+    host: RoutedHost, request: Request
 ) -> SheetAnswer | Failure:
     upload = request.body
     if upload.number < 1:
@@ -217,24 +230,24 @@
     )
 
 
-async def _heartbeat(host: "ControlHost", request: Request) -> HeartbeatReply:
+async def _heartbeat(host: RoutedHost, request: Request) -> HeartbeatReply:
     leadership = host.leadership
     leases = leadership.heartbeat(request.body)
     lease_ms = int(leadership.leases.lease_s * 1000)
     return HeartbeatReply(leases, lease_ms, host.state.index)
 
 
-async def _announce(host: "ControlHost", request: Request) -> Accepted:
+async def _announce(host: RoutedHost, request: Request) -> Accepted:
     host.leadership.announce(request.body.status)
     return Accepted()
 
 
-async def _suspect(host: "ControlHost", request: Request) -> Accepted:
+async def _suspect(host: RoutedHost, request: Request) -> Accepted:
     host.leadership.suspect(request.body)
     return Accepted()
 
 
-async def _drain(host: "ControlHost", request: Request) -> Accepted | Failure:
+async def _drain(host: RoutedHost, request: Request) -> Accepted | Failure:
     command = encode(DrainHost(request.body.host))
     outcome = await host.agreement.submit(command, request.deadline)
     if is_failure(outcome):
@@ -245,9 +258,7 @@
     return Accepted()
 
 
-async def _replace(
-    host: "ControlHost", request: Request
-) -> Accepted | Failure:
+async def _replace(host: RoutedHost, request: Request) -> Accepted | Failure:
     outcome = await host.agreement.replace_member(
         request.body.name, request.deadline
     )
