Refuse heartbeats whose address no process can connect to

A heartbeat with the address 127.0.0.1:99999 was acknowledged, also while the endpoint drained. From then on each promotion of its service ended with OverflowError, and the primary was not replaced.

The edge checked the host and that the port is a number, but not its range; the decoding of what coordinators and entry hosts pass on checked nothing. Numbers such as "+80", "8_0" and digits of other scripts passed too.

The type of an address, an IPv4 address and a port from 1 to 65535, is now part of the registry. Every decoding of a heartbeat uses it: of a sender, of another host, and of the file of a coordinator.

--- a/chivescale/registry/__init__.py
+++ b/chivescale/registry/__init__.py
@@ -1,6 +1,6 @@
 """Registry of the endpoints that announce themselves by heartbeats."""
 
-from chivescale.registry._records import EndpointBeat, EndpointEntry
+from chivescale.registry._records import Address, EndpointBeat, EndpointEntry
 from chivescale.registry._registry import Registry
 
-__all__ = ["EndpointBeat", "EndpointEntry", "Registry"]
+__all__ = ["Address", "EndpointBeat", "EndpointEntry", "Registry"]
--- a/chivescale/registry/_records.py
+++ b/chivescale/registry/_records.py
@@ -1,11 +1,27 @@
 """Records of the endpoint registry."""
 
+import typing
+
 import msgspec
 
+_OCTET = r"(?:25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])"
+_PORT = (
+    r"(?:6553[0-5]|655[0-2][0-9]|65[0-4][0-9]{2}|6[0-4][0-9]{3}"
+    r"|[1-5][0-9]{4}|[1-9][0-9]{0,3})"
+)
+# IPv4 address and port, in the only notation that every process can connect
+# to.
+Address = typing.Annotated[
+    str,
+    msgspec.Meta(pattern=rf"^{_OCTET}(?:\.{_OCTET}){{3}}:{_PORT}\Z"),
+]
+
 
 class EndpointBeat(msgspec.Struct, frozen=True):
     """A heartbeat of an endpoint or its deregistration.
 
+    Decoding checks the ranges of the fields.
+
     Attributes
     ----------
     endpoint, service, address, zone : str
@@ -27,7 +43,7 @@
 
     endpoint: str
     service: str
-    address: str
+    address: Address
     zone: str
     slots: int
     draining: bool
--- a/chivescale/registry/tests/registry.feature
+++ b/chivescale/registry/tests/registry.feature
@@ -59,3 +59,19 @@
     Given these heartbeats of endpoint a arrived: born 5 no 2
     When a starts again for service atelier
     Then service ledger has 0 endpoints and service atelier has 1
+
+  # Guards against an address that no process can connect to, passed on by
+  # another host.
+  Scenario Outline: Addresses of heartbeats that other hosts pass on
+    When another host passes on a heartbeat at <address>
+    Then it is <verdict>
+
+    Examples:
+      | address             | verdict  |
+      | 10.0.0.1:1          | readable |
+      | 10.0.0.1:65535      | readable |
+      | 10.0.0.1:65536      | refused  |
+      | 10.0.0.1:99999      | refused  |
+      | 10.0.0.1:0          | refused  |
+      | 10.0.0.256:80       | refused  |
+      | e1:80               | refused  |
--- a/chivescale/registry/tests/steps/registry_steps.py
+++ b/chivescale/registry/tests/steps/registry_steps.py
@@ -6,6 +6,8 @@
 import msgspec
 from behave import given, then, when
 
+from chivescale.errors import is_failure
+from chivescale.messages import decode, encode
 from chivescale.registry import EndpointBeat, Registry
 from chivescale.registry._registry import (
     SILENT_EXPIRY_S,
@@ -185,3 +187,14 @@
     registry = context.registry
     assert len(registry.service_endpoints(one)) == first
     assert len(registry.service_endpoints(two)) == second
+
+
+@when("another host passes on a heartbeat at {address}")
+def passed_on(context, address):
+    body = encode(heartbeat("born 5 no 1", address=address))
+    context.decoded = decode(body, EndpointBeat)
+
+
+@then("it is {verdict:w}")
+def readable(context, verdict):
+    assert is_failure(context.decoded) == (verdict == "refused")
