Skip entries of the log that cannot be read

One configuration with lists nested about 980 deep was refused with 503 and ended the work of every coordinator: "agreement_stopped ... invariant violated: cannot decode the stored configuration: maximum recursion depth exceeded", again after each restart. Without its log no coordinator acknowledges or reads back a configuration.

The decoder's limit of nesting is that of the call stack, so the edge accepted what the log refused later, and an entry that cannot be read stopped the log by design.

An entry that still cannot be read, also one that is not compressed, is too long, or on which the decoder fails, has no effect; it is counted, logged and answered as a bad request, and the log goes on.

Shortage of memory still stops the member, because it differs between members.

--- a/chivescale/coordinator/_host.py
+++ b/chivescale/coordinator/_host.py
@@ -30,7 +30,11 @@
     StoreOrder,
 )
 from chivescale.coordinator._promoter import Promoter
-from chivescale.coordinator._replicated import DecodeDocument, ReplicatedState
+from chivescale.coordinator._replicated import (
+    DecodeDocument,
+    ReplicatedState,
+    unpack_document,
+)
 from chivescale.dialect import EndpointDialect
 from chivescale.errors import KIND_TABLE, ErrorKind, Failure, is_failure
 from chivescale.httpio import HttpClient, HttpRequest, HttpResponse
@@ -284,6 +288,9 @@
         return result
 
     async def _store(self, order: StoreOrder) -> StoreResult | Failure:
+        readable = self.state.read_catalog(order.packed)
+        if is_failure(readable):
+            return readable
         command = encode(StoreCatalog(order.packed))
         outcome = await self.agreement.submit(
             command, now() + COMMAND_TIMEOUT_S
@@ -300,7 +307,7 @@
             )
         if is_failure(answer):
             return answer
-        return zlib.decompress(answer.packed) if answer.packed else b""
+        return unpack_document(answer.packed) if answer.packed else b""
 
     async def _read(self) -> DocumentAnswer | Failure:
         index = await self.agreement.confirm_read(now() + READ_TIMEOUT_S)
--- a/chivescale/coordinator/_replicated.py
+++ b/chivescale/coordinator/_replicated.py
@@ -3,16 +3,20 @@
 import collections.abc
 import zlib
 
-from chivescale.catalog import Catalog, CatalogState
+from chivescale.catalog import Catalog, CatalogState, StoreResult
 from chivescale.coordinator._messages import (
     Command,
     OrderPromotion,
     SnapshotState,
     StoreCatalog,
 )
-from chivescale.errors import Failure, is_failure
+from chivescale.errors import ErrorKind, Failure, is_failure
 from chivescale.lease import Epoch
-from chivescale.messages import decode, encode
+from chivescale.messages import check_depth, decode, encode
+from chivescale.telemetry import COUNTERS, log_event
+
+# Larger than every request, so that no order can be refused for it.
+MAX_DOCUMENT_BYTES = 16 << 20
 
 DecodeDocument = collections.abc.Callable[[bytes], Catalog | Failure]
 
@@ -45,31 +49,63 @@
         self.epochs: dict[str, Epoch] = {}
 
     def apply(self, index: int, data: bytes):
-        """Apply one command and return its result."""
-        command = decode(data, Command)
-        if is_failure(command):
-            # All members read the same bytes. A member that cannot decode
-            # them must stop, or its state would diverge.
-            raise AssertionError(
-                f"cannot decode log entry {index}: {command.reason}"
-            )
+        """Apply one command and return its result.
+
+        All members read the same bytes. An entry that this build cannot read
+        has no effect on any of them, and the log goes on.
+
+        Returns
+        -------
+        StoreResult, int or Failure
+            Result of the command; ``BAD_REQUEST`` if it was skipped.
+        """
+        command = check_depth(data) or decode(data, Command)
         match command:
             case StoreCatalog(compressed):
-                return self._store(compressed)
+                result = self._store(compressed)
             case OrderPromotion():
                 self.epochs.update(promotion_epoch(index, command))
-                return index
-
-    def _store(self, compressed: bytes):
-        catalog = self.decode_document(zlib.decompress(compressed))
-        if is_failure(catalog):
-            raise AssertionError(
-                f"cannot decode the stored configuration: {catalog.reason}"
-            )
+                result = index
+            case _:
+                result = Failure(ErrorKind.BAD_REQUEST, command.reason)
+        if is_failure(result):
+            _note_skipped("entry", result, index)
+        return result
+
+    def read_catalog(
+        self, compressed: bytes
+    ) -> tuple[Catalog, bytes] | Failure:
+        """Decode a compressed document.
+
+        Returns
+        -------
+        tuple or Failure
+            The configuration and its compressed encoding; ``BAD_REQUEST`` if
+            it cannot be read.
+        """
+        document = unpack_document(compressed)
+        if is_failure(document):
+            return document
+        try:
+            catalog = self.decode_document(document)
+            if is_failure(catalog):
+                return Failure(ErrorKind.BAD_REQUEST, catalog.reason)
+            return catalog, zlib.compress(encode(catalog))
+        except (MemoryError, RecursionError):
+            # These depend on the process and not on the bytes.
+            raise
+        except Exception as err:
+            return Failure(ErrorKind.BAD_REQUEST, repr(err))
+
+    def _store(self, compressed: bytes) -> StoreResult | Failure:
+        read = self.read_catalog(compressed)
+        if is_failure(read):
+            return read
+        catalog, compressed_catalog = read
         result = self.catalog.store(catalog)
         if result.changed:
             self.compressed_document = compressed
-            self.compressed_catalog = zlib.compress(encode(catalog))
+            self.compressed_catalog = compressed_catalog
         return result
 
     def snapshot(self) -> bytes:
@@ -82,12 +118,42 @@
         if is_failure(state):
             raise AssertionError(f"cannot decode the snapshot: {state.reason}")
         self.catalog = CatalogState()
+        self.compressed_document = self.compressed_catalog = b""
         self.epochs = dict(state.epochs)
-        if state.packed:
-            self._store(state.packed)
+        if not state.packed:
+            return
+        result = self._store(state.packed)
+        if is_failure(result):
+            # Kept for the members that can read it.
+            self.compressed_document = state.packed
+            _note_skipped("snapshot", result)
 
 
 def promotion_epoch(index: int, command: OrderPromotion) -> dict[str, Epoch]:
     """Return the epoch that a promotion begins, by service."""
     epoch = Epoch(index, command.endpoint, command.planned)
     return {command.service: epoch}
+
+
+def unpack_document(compressed: bytes) -> bytes | Failure:
+    """Decompress a document; ``BAD_REQUEST`` if that is not possible."""
+    unpacker = zlib.decompressobj()
+    try:
+        document = unpacker.decompress(compressed, MAX_DOCUMENT_BYTES)
+    except zlib.error as err:
+        return Failure(ErrorKind.BAD_REQUEST, f"compressed document: {err}")
+    if not unpacker.eof or unpacker.unused_data:
+        reason = "compressed document: cut short, too long or followed by more"
+        return Failure(ErrorKind.BAD_REQUEST, reason)
+    return document
+
+
+def _note_skipped(part: str, failure: Failure, index: int = 0) -> None:
+    COUNTERS.count("log_entries_skipped")
+    log_event(
+        "log_entry_skipped",
+        "error",
+        part=part,
+        index=index,
+        reason=failure.reason,
+    )
--- a/chivescale/messages/__init__.py
+++ b/chivescale/messages/__init__.py
@@ -46,6 +46,7 @@
     ReplaceRequest,
     Status,
 )
+from chivescale.messages._untrusted import check_depth, decode_untrusted
 from chivescale.messages._watch import (
     NO_LEASES,
     Empty,
@@ -103,6 +104,8 @@
     "WatchReply",
     "WatchRequest",
     "WorkspaceRecord",
+    "check_depth",
     "decode",
+    "decode_untrusted",
     "encode",
 ]
