Refuse documents that are not UTF-8 throughout

A configuration with bytes that are no UTF-8 in a field that is not used was acknowledged and took the place of the valid one. Every read then returned bytes that no JSON reader accepts.

The decoder checks only the text of the fields that it returns, and the document is stored and read back as it was sent. Every document from outside is now decoded as a whole first, and refused with the place of the first byte that is no text.

--- a/chivescale/messages/_untrusted.py
+++ b/chivescale/messages/_untrusted.py
@@ -54,6 +54,12 @@
     failure = check_depth(document)
     if failure is not None:
         return failure
+    try:
+        # The decoder does not check the text of fields that it skips.
+        document.decode()
+    except UnicodeDecodeError as err:
+        reason = f"byte {err.start}: not UTF-8, {err.reason}"
+        return Failure(ErrorKind.BAD_REQUEST, reason)
     message = decode(document, message_type)
     if is_failure(message):
         return Failure(ErrorKind.BAD_REQUEST, message.reason)
