Refuse numbers and names out of range

Numbers of any size were accepted: a version of 2^64 or -1, a negative number of connections, a sequence that makes every later heartbeat of the endpoint look old. 1e400 in a field that is not used was stored, which strict readers do not accept. A service named with line breaks became further messages on the connection to the endpoint, and one named with a letter outside of Latin-1 ended each attempt to connect with UnicodeEncodeError.

The ranges are now part of the product's types of the configuration and of heartbeats, and the platform's types use them, so that the decoder names the field. Configurations, which are read back as they were sent, are decoded a second time with all their values.

--- a/chivescale/catalog/_model.py
+++ b/chivescale/catalog/_model.py
@@ -1,9 +1,17 @@
 """Data model of the configuration: routes and service options."""
 
 import enum
+import typing
 
 import msgspec
 
+# The ranges keep what is stored readable for others and usable in
+# calculations. They are checked by decoding.
+Version = typing.Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+Count = typing.Annotated[int, msgspec.Meta(ge=0, le=2**31 - 1)]
+DurationMs = typing.Annotated[float, msgspec.Meta(ge=0, le=2**53)]
+WholeMs = typing.Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+
 
 class Consistency(enum.StrEnum):
     """Consistency level of the reads of a route.
@@ -51,10 +59,10 @@
     prefix: str
     service: str
     consistency: Consistency
-    statement_timeout_ms: int
-    latency_goal_ms: float
-    priority: int
-    accepted_staleness_ms: float = 0.0
+    statement_timeout_ms: WholeMs
+    latency_goal_ms: DurationMs
+    priority: Count
+    accepted_staleness_ms: DurationMs = 0.0
 
 
 class ServiceOptions(msgspec.Struct, frozen=True):
@@ -72,8 +80,8 @@
     """
 
     name: str
-    max_connections: int
-    sync_replicas: int = 0
+    max_connections: Count
+    sync_replicas: Count = 0
 
 
 class Catalog(msgspec.Struct, frozen=True):
@@ -91,7 +99,7 @@
         Idle time after which a transaction is rolled back; 0 means no limit.
     """
 
-    version: int
+    version: Version
     routes: tuple[Route, ...]
     services: tuple[ServiceOptions, ...]
-    idle_transaction_ms: int = 0
+    idle_transaction_ms: WholeMs = 0
--- a/chivescale/messages/_untrusted.py
+++ b/chivescale/messages/_untrusted.py
@@ -43,9 +43,21 @@
     return None
 
 
-def decode_untrusted(document: bytes, message_type: type[T]) -> T | Failure:
+def decode_untrusted(
+    document: bytes, message_type: type[T], *, stored: bool = False
+) -> T | Failure:
     """Decode a document of a sender outside of the system.
 
+    Parameters
+    ----------
+    document : bytes
+        JSON document.
+    message_type : type
+        Expected message type.
+    stored : bool
+        Whether others will read the document itself. The values of fields
+        that `message_type` does not have are then checked as well.
+
     Returns
     -------
     message or Failure
@@ -61,6 +73,9 @@
         reason = f"byte {err.start}: not UTF-8, {err.reason}"
         return Failure(ErrorKind.BAD_REQUEST, reason)
     message = decode(document, message_type)
+    if stored and not is_failure(message):
+        every_value = decode(document, typing.Any)
+        message = every_value if is_failure(every_value) else message
     if is_failure(message):
         return Failure(ErrorKind.BAD_REQUEST, message.reason)
     return message
--- a/chivescale/registry/_records.py
+++ b/chivescale/registry/_records.py
@@ -1,9 +1,12 @@
 """Records of the endpoint registry."""
 
+import re
 import typing
 
 import msgspec
 
+MAX_NAME = 256
+
 _OCTET = r"(?:25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])"
 _PORT = (
     r"(?:6553[0-5]|655[0-2][0-9]|65[0-4][0-9]{2}|6[0-4][0-9]{3}"
@@ -16,6 +19,21 @@
     msgspec.Meta(pattern=rf"^{_OCTET}(?:\.{_OCTET}){{3}}:{_PORT}\Z"),
 ]
 
+# Names become words of lines that are sent to endpoints.
+_NAME = rf"^[^\x00-\x20\x7f]{{1,{MAX_NAME}}}\Z"
+Name = typing.Annotated[str, msgspec.Meta(pattern=_NAME)]
+Label = typing.Annotated[str, msgspec.Meta(max_length=MAX_NAME)]
+Slots = typing.Annotated[int, msgspec.Meta(ge=0, le=2**31 - 1)]
+# The end of the year 9999.
+UnixMs = typing.Annotated[int, msgspec.Meta(ge=0, le=253402300799999)]
+Sequence = typing.Annotated[int, msgspec.Meta(ge=0, le=2**53 - 1)]
+_find_name = re.compile(_NAME).search
+
+
+def is_name(text: str) -> bool:
+    """Return whether a text may be the name of an endpoint or a service."""
+    return _find_name(text) is not None
+
 
 class EndpointBeat(msgspec.Struct, frozen=True):
     """A heartbeat of an endpoint or its deregistration.
@@ -41,15 +59,15 @@
         Whether it has terminated or was deregistered.
     """
 
-    endpoint: str
-    service: str
+    endpoint: Name
+    service: Name
     address: Address
-    zone: str
-    slots: int
+    zone: Label
+    slots: Slots
     draining: bool
     primary: bool
-    born_ms: int
-    sequence: int
+    born_ms: UnixMs
+    sequence: Sequence
     gone: bool = False
 
     @property
