Use the rest of a list with an odd entry

One heartbeat that cannot be read, passed on by another coordinator or kept in the file of a coordinator, made the whole message unreadable: no endpoint of the gossip was learnt, a coordinator started without any of the endpoints in its file, and an entry host gave up the coordinator at each poll. A connection to a text that is no address raised OverflowError, ValueError or UnicodeError, which ended the task that opened it, and a contact with a negative age kept an entry host listed.

Fields of independent elements have a type of their own. If a message cannot be read, its elements are decoded one by one; those that cannot be read are passed over with one line that names the first, and counted. Messages that can be read are decoded as before. The age of a contact is not negative, and a failed connection to such a text is an UNREACHABLE failure in links, trials, calls and between gateways.

--- a/chivescale/coordinator/_messages.py
+++ b/chivescale/coordinator/_messages.py
@@ -1,10 +1,12 @@
 """Messages between coordinators and the commands of the replicated log."""
 
+import typing
+
 import msgspec
 
 from chivescale.agreement import Member
 from chivescale.lease import Epoch
-from chivescale.messages import EntryHostRecord
+from chivescale.messages import Elements, EntryHostRecord
 from chivescale.registry import EndpointBeat
 
 
@@ -57,7 +59,7 @@
     """An entry host, the age of its last contact, and its shutdown state."""
 
     record: EntryHostRecord
-    age_s: float
+    age_s: typing.Annotated[float, msgspec.Meta(ge=0)]
     leaving: bool
 
 
@@ -78,8 +80,8 @@
 
     sender: str = ""
     zone: str = ""
-    beats: tuple[EndpointBeat, ...] = ()
-    hosts: tuple[HostSeen, ...] = ()
+    beats: Elements[EndpointBeat] = ()
+    hosts: Elements[HostSeen] = ()
     suspects: tuple[str, ...] | None = None
 
 
--- a/chivescale/coordinator/_saved_state.py
+++ b/chivescale/coordinator/_saved_state.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from chivescale.errors import is_failure
-from chivescale.messages import EntryHostRecord, decode, encode
+from chivescale.messages import Elements, EntryHostRecord, decode, encode
 from chivescale.registry import EndpointBeat
 from chivescale.telemetry import log_event
 
@@ -30,8 +30,8 @@
         Entry hosts that were not stopping.
     """
 
-    endpoints: tuple[EndpointBeat, ...] = ()
-    hosts: tuple[EntryHostRecord, ...] = ()
+    endpoints: Elements[EndpointBeat] = ()
+    hosts: Elements[EntryHostRecord] = ()
 
 
 def load(folder: pathlib.Path) -> SavedState:
--- a/chivescale/gateway/_client.py
+++ b/chivescale/gateway/_client.py
@@ -185,7 +185,7 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 await loop.create_connection(lambda: channel, host, int(port))
-        except (OSError, TimeoutError) as err:
+        except (OSError, TimeoutError, ValueError, OverflowError) as err:
             reason = f"gateway {self.name}: cannot connect: {err!r}"
             return Failure(ErrorKind.UNREACHABLE, reason)
         self.channel = channel
--- a/chivescale/httpio/_client.py
+++ b/chivescale/httpio/_client.py
@@ -160,10 +160,13 @@
 async def _connect(address: str, timeout_s: float) -> "_ClientConnection":
     host, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
-    async with asyncio.timeout(timeout_s):
-        _, connection = await loop.create_connection(
-            _ClientConnection, host, int(port)
-        )
+    try:
+        async with asyncio.timeout(timeout_s):
+            _, connection = await loop.create_connection(
+                _ClientConnection, host, int(port)
+            )
+    except (ValueError, OverflowError) as err:
+        raise OSError(f"not an address: {err!r}") from err
     return connection
 
 
--- a/chivescale/link/_link.py
+++ b/chivescale/link/_link.py
@@ -189,7 +189,8 @@
             await loop.create_connection(lambda: link.channel, host, int(port))
     except ConnectionRefusedError as err:
         return Failure(ErrorKind.CONNECTION_REFUSED, f"{address}: {err}")
-    except (OSError, TimeoutError) as err:
+    except (OSError, TimeoutError, ValueError, OverflowError) as err:
+        # The last two are raised for a text that is no address.
         return Failure(ErrorKind.UNREACHABLE, f"{address}: {err!r}")
     remaining_s = max(0.001, timeout_s - (clock.now() - started))
     replies = await link.exchange(
@@ -223,7 +224,7 @@
             )
     except ConnectionRefusedError:
         return True
-    except (OSError, TimeoutError):
+    except (OSError, TimeoutError, ValueError, OverflowError):
         return False
     transport.abort()
     return True
--- a/chivescale/messages/__init__.py
+++ b/chivescale/messages/__init__.py
@@ -27,7 +27,7 @@
     WatchReply,
     WorkspaceRecord,
 )
-from chivescale.messages._codec import decode, encode
+from chivescale.messages._codec import Elements, decode, encode
 from chivescale.messages._endpoint import (
     Accepted,
     EndpointStatus,
@@ -68,6 +68,7 @@
     "Command",
     "DrainHost",
     "DrainRequest",
+    "Elements",
     "Empty",
     "EndpointRecord",
     "EndpointStatus",
--- a/chivescale/messages/_watch.py
+++ b/chivescale/messages/_watch.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from chivescale.lease import LeaseAnswer
+from chivescale.messages._codec import Elements
 from chivescale.registry import EndpointBeat
 
 # Reported by a host that uses no leases, and by one that gives them up.
@@ -110,12 +111,12 @@
     boot: str
     revision: int
     catalog: bytes
-    endpoints: tuple[EndpointUpdate, ...]
+    endpoints: Elements[EndpointUpdate]
     members: dict[str, str]
     leader: str
     age_s: float
     hosts_revision: int
-    hosts: tuple[EntryHostRecord, ...]
+    hosts: Elements[EntryHostRecord]
     suspects: tuple[str, ...]
     lease: LeaseAnswer | None = None
 
