--- a/chivescale/messages/__init__.py
+++ b/chivescale/messages/__init__.py
@@ -27,7 +27,7 @@
     WatchReply,
     WorkspaceRecord,
 )
-from chivescale.messages._codec import decode, encode
+from chivescale.messages._codec import Elements, decode, encode
 from chivescale.messages._endpoint import (
     Accepted,
     EndpointStatus,
@@ -46,6 +46,7 @@
     ReplaceRequest,
     Status,
 )
+from chivescale.messages._untrusted import check_depth, decode_untrusted
 from chivescale.messages._watch import (
     NO_LEASES,
     Empty,
@@ -67,6 +68,7 @@
     "Command",
     "DrainHost",
     "DrainRequest",
+    "Elements",
     "Empty",
     "EndpointRecord",
     "EndpointStatus",
@@ -103,6 +105,8 @@
     "WatchReply",
     "WatchRequest",
     "WorkspaceRecord",
+    "check_depth",
     "decode",
+    "decode_untrusted",
     "encode",
 ]
