Serve sessions that come to a stopping host to their end

A host that had no session when it was asked to stop closed, 2.5 s later, all sessions that had come since, with statements running. The loop that waits for work ended at once without any; the host then only slept until the load balancer had noticed.

What a stopping host does, and when, is now decided by StopSchedule, which knows no network; drain() carries it out.

--- a/chivescale/relay/_host.py
+++ b/chivescale/relay/_host.py
@@ -13,12 +13,14 @@
 from chivescale.httpio import HttpClient
 from chivescale.messages import EndpointUpdate, EntryHostRecord
 from chivescale.relay._coordinator_watcher import CoordinatorWatcher
+from chivescale.relay._drain import drain
 from chivescale.relay._endpoint import Endpoint, Service
 from chivescale.relay._executor import Executor
 from chivescale.relay._forwarder import Forwarder
 from chivescale.relay._gateway import GatewayServer
 from chivescale.relay._isolation import IsolationMonitor
 from chivescale.relay._session import ClientSession
+from chivescale.relay._stop_schedule import StopSchedule
 from chivescale.relay._term_leases import TermLeases
 from chivescale.supervision import run_supervised
 from chivescale.telemetry import COUNTERS, log_decision, log_event
@@ -39,10 +41,6 @@
 STANDING_FRACTION = 0.5
 # One of this many successful statements is logged.
 SUCCESS_LOG_INTERVAL = 200
-# A stopping host accepts connections for this long, because the load balancer
-# needs two failed probes to detect that it is not ready.
-ACCEPT_AFTER_STOP_S = 2.5
-DRAIN_POLL_INTERVAL_S = 0.05
 # After a start, clients wait this long for the first configuration. An
 # election and the transfer of the configuration take about 1 s; clients time
 # out after 2 s.
@@ -107,6 +105,8 @@
     ----------
     by_id : dict of str to Endpoint
         Endpoints of all services by identifier.
+    schedule : StopSchedule
+        What the host still takes once it was asked to stop.
     waiting_sessions : list of (ClientSession, str)
         Sessions that wait for the first configuration, with their database.
     """
@@ -140,7 +140,7 @@
         self.isolation_monitor = IsolationMonitor(self)
         self.server: asyncio.Server | None = None
         self.tasks: list[asyncio.Task] = []
-        self.stopping = False
+        self.schedule = StopSchedule()
         self.entry_hosts: tuple[EntryHostRecord, ...] = ()
         self.success_count = 0
         self.started_at = now()
@@ -179,6 +179,11 @@
             and self.isolation_monitor.isolated_since is None
         )
 
+    @property
+    def stopping(self) -> bool:
+        """Whether the host was asked to stop."""
+        return self.schedule.begun
+
     @property
     def starting(self) -> bool:
         """Whether the first configuration is still expected."""
@@ -200,31 +205,18 @@
     async def stop(self) -> None:
         """Drain the host and stop.
 
-        The host reports not ready immediately. Idle sessions are closed once
-        the load balancer sends no new connections. Idle transactions are
-        rolled back after half of the grace period.
+        The host reports not ready immediately. What it still takes, and when
+        it stops, is decided by its schedule.
         """
-        self.stopping = True
+        began_at = now()
+        self.schedule.begin(began_at, self.settings.stop_grace_s)
         self.gateway.announce_shutdown()
-        started = now()
-        grace_s = self.settings.stop_grace_s
         log_event("drain_began", sessions=len(self.sessions))
-        abort_idle_at = started + grace_s / 2
-        while self._busy and now() < started + grace_s * 0.8:
-            await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
-            accepting = now() < started + ACCEPT_AFTER_STOP_S
-            for session in list(self.sessions):
-                if now() >= abort_idle_at:
-                    session.abort_idle_transaction("host is shutting down")
-                if session.idle and not accepting:
-                    session.close()
-        remaining_s = started + ACCEPT_AFTER_STOP_S - now()
-        if remaining_s > 0:
-            await asyncio.sleep(remaining_s)
+        await drain(self)
         log_event(
             "drain_ended",
             sessions=len(self.sessions),
-            duration_s=now() - started,
+            duration_s=now() - began_at,
         )
         self.server.close()
         for session in list(self.sessions):
@@ -239,11 +231,6 @@
             await self.follower.release_leases()
         await self.http_client.close()
 
-    @property
-    def _busy(self) -> bool:
-        """Whether sessions or transactions of other hosts are open."""
-        return bool(self.sessions or self.gateway.open_transactions)
-
     async def _maintain(self) -> None:
         while True:
             await asyncio.sleep(MAINTENANCE_INTERVAL_S)
--- a/chivescale/relay/_session.py
+++ b/chivescale/relay/_session.py
@@ -89,8 +89,12 @@
 
     @property
     def idle(self) -> bool:
-        """Whether no statement runs and no transaction is open."""
-        return self.worker is None and self.transaction is None
+        """Whether no statement runs or arrives and no transaction is open."""
+        return (
+            self.worker is None
+            and self.transaction is None
+            and not self.channel.buffer
+        )
 
     def record_commit(self, service: str, position: Position | None) -> None:
         """Record a commit that later reads of the session must observe."""
@@ -175,6 +179,8 @@
                 self._release_transaction()
             elif self.transaction is not None:
                 self._start_timer()
+            elif self.idle and self.host.schedule.closes_answered(now()):
+                self.close()
 
     # Statements.
 
