End open transactions of a stopping host at their next statement

An open transaction had the first half of the grace period to end, but was rolled back after that only if the host found its session without a running statement at one of its polls, each 50 ms.

After half of the grace period the next statement of a transaction, its COMMIT included, rolls it back and is told so, and a BEGIN is refused, since its statements would be; both answers promise that nothing is kept. A transaction that was rolled back between two statements, also by the idle time limit, is told ABORTED once; only then MALFORMED.

--- a/chivescale/relay/_drain.py
+++ b/chivescale/relay/_drain.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from chivescale.clock import now
+from chivescale.relay._stop_schedule import REASON
 
 POLL_INTERVAL_S = 0.05
 
@@ -21,7 +22,7 @@
         time = now()
         for session in list(host.sessions):
             if schedule.ends_transactions(time):
-                session.abort_idle_transaction("host is shutting down")
+                session.abort_idle_transaction(REASON)
             if session.idle and schedule.closes_idle(time, session.opened_at):
                 session.close()
 
--- a/chivescale/relay/_session.py
+++ b/chivescale/relay/_session.py
@@ -220,6 +220,9 @@
         if self.transaction is not None:
             reason = "a transaction is already open"
             return Failure(ErrorKind.BAD_REQUEST, reason)
+        refusal = self.host.schedule.refuse_begin(now())
+        if refusal is not None:
+            return refusal
         route = self.host.find_route(self.database)
         if is_failure(route):
             return route
@@ -266,8 +269,7 @@
             reason = "the transaction has failed and was rolled back"
             failure = Failure(ErrorKind.TRANSACTION_ABORTED, reason)
             return self.dialect.encode_failure(failure, self.state)
-        reason = "the transaction has failed and must be rolled back"
-        failure = Failure(ErrorKind.TRANSACTION_FAILED, reason)
+        failure = transaction.take_failure()
         return self.dialect.encode_failure(failure, self.state)
 
     def _make_request(
@@ -300,6 +302,9 @@
             if is_failure(route)
             else self._make_request(statement, route, arrived_at)
         )
+        if not is_failure(request) and transaction is not None:
+            refusal = self.host.schedule.refuse_in_transaction(now())
+            request = refusal or request
         if is_failure(request):
             outcome = request
             if transaction is not None:
@@ -321,7 +326,9 @@
             failure = Failure(ErrorKind.BAD_REQUEST, reason)
             return self.dialect.encode_failure(failure, self.state)
         request = self._make_request(statement, transaction.route, arrived_at)
-        outcome = await self.host.executor.commit(transaction, request)
+        outcome = self.host.schedule.refuse_in_transaction(now())
+        if outcome is None:
+            outcome = await self.host.executor.commit(transaction, request)
         self._release_transaction()
         return self._finish_statement(statement, arrived_at, outcome, request)
 
@@ -352,6 +359,7 @@
             return
         log_event("transaction_ended", reason=reason, database=self.database)
         self.host.executor.abandon(transaction)
+        transaction.unreported_abort = reason
 
     def _release_transaction(self) -> None:
         transaction, self.transaction = self.transaction, None
--- a/chivescale/relay/_stop_schedule.py
+++ b/chivescale/relay/_stop_schedule.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from chivescale.errors import ErrorKind, Failure
+
 # The load balancer probes each second and takes a host out after two misses.
 # Connections that it forwarded before that arrive somewhat later.
 BALANCER_DETECTION_S = 2.5
@@ -18,6 +20,7 @@
 MAX_EXIT_MARGIN_S = 0.5
 # Fraction of that time in which interrupted statements are answered.
 ANSWER_FRACTION = 0.5
+REASON = "host is shutting down"
 
 
 class StopSchedule(msgspec.Struct):
@@ -31,7 +34,8 @@
         the process does not end.
     transactions_until : float
         End of the first half of the grace period, in which open
-        transactions have time to end.
+        transactions have time to end. After that they are rolled back when
+        they are idle or send their next statement.
     statements_until : float
         When statements that still run are interrupted.
     answers_until : float
@@ -86,6 +90,18 @@
         """Return whether open transactions are rolled back."""
         return time >= self.transactions_until
 
+    def refuse_begin(self, time: float) -> Failure | None:
+        """Return a failure if a new transaction would have no time."""
+        if not self.ends_transactions(time):
+            return None
+        return Failure(ErrorKind.SHUTTING_DOWN, REASON)
+
+    def refuse_in_transaction(self, time: float) -> Failure | None:
+        """Return a failure if an open transaction is rolled back instead."""
+        if not self.ends_transactions(time):
+            return None
+        return Failure(ErrorKind.TRANSACTION_ABORTED, REASON)
+
     def closes_idle(self, time: float, opened_at: float) -> bool:
         """Return whether an idle session is closed."""
         return (
--- a/chivescale/relay/_transaction.py
+++ b/chivescale/relay/_transaction.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from chivescale.catalog import Route
+from chivescale.errors import ErrorKind, Failure
 from chivescale.gateway import GatewayClient
 from chivescale.link import Link
 from chivescale.relay._endpoint import Endpoint, Service
@@ -35,6 +36,9 @@
         Identifies the transaction on the connection to the gateway.
     failed : bool
         Whether it was rolled back and the client has not ended it yet.
+    unreported_abort : str
+        Why it was rolled back between two statements; empty if the client
+        knows.
     timer : asyncio.TimerHandle or None
         Idle timeout.
     """
@@ -50,6 +54,7 @@
     peer: GatewayClient | None = None
     gateway_transaction_id: int = 0
     failed: bool = False
+    unreported_abort: str = ""
     timer: asyncio.TimerHandle | None = None
 
     def attach(
@@ -64,6 +69,17 @@
         self.endpoint, self.connection = endpoint, connection
         self.epoch = epoch
 
+    def take_failure(self) -> Failure:
+        """Return the failure of the next statement after a rollback.
+
+        A client that did not know of the rollback is told of it once.
+        """
+        reason, self.unreported_abort = self.unreported_abort, ""
+        if reason:
+            return Failure(ErrorKind.TRANSACTION_ABORTED, reason)
+        reason = "the transaction has failed and must be rolled back"
+        return Failure(ErrorKind.TRANSACTION_FAILED, reason)
+
     def stop_timer(self) -> None:
         """Cancel the idle timeout."""
         if self.timer is not None:
--- a/chivescale/relay/tests/steps/stop_schedule_steps.py
+++ b/chivescale/relay/tests/steps/stop_schedule_steps.py
@@ -47,3 +47,13 @@
 def answered_session(context, ms, state):
     closed = context.schedule.closes_answered(after(ms))
     assert closed == (state == "closed")
+
+
+@then(
+    "after {ms:d} ms a begin is {begin} and an open transaction {transaction}"
+)
+def transactions(context, ms, begin, transaction):
+    refusal = context.schedule.refuse_begin(after(ms))
+    assert (refusal.kind if refusal else "taken") == begin
+    refusal = context.schedule.refuse_in_transaction(after(ms))
+    assert (refusal.kind if refusal else "goes on") == transaction
--- a/chivescale/relay/tests/stop_schedule.feature
+++ b/chivescale/relay/tests/stop_schedule.feature
@@ -55,3 +55,17 @@
     Given a host that runs
     Then after 99000 ms with no work it waits
     And a session that is answered after 99000 ms is open then
+
+  # Guards against statements of transactions that go on until they are cut.
+  Scenario Outline: Transactions have the first half of the grace period
+    Given a host with a grace period of <grace> ms that was asked to stop
+    Then after <ms> ms a begin is <begin> and an open transaction <open>
+
+    Examples: shutting_down and transaction_aborted are promises
+      | grace | ms    | begin         | open                |
+      | 6000  | 0     | taken         | goes on             |
+      | 6000  | 2900  | taken         | goes on             |
+      | 6000  | 3000  | shutting_down | transaction_aborted |
+      | 6000  | 5900  | shutting_down | transaction_aborted |
+      | 30000 | 14900 | taken         | goes on             |
+      | 30000 | 15000 | shutting_down | transaction_aborted |
