Refuse statements that a stopping host may not end in time

A stopping host took every statement until it closed its connections, so clients that were still sent to it late could lose the answer to one that was running. Nothing promised them that it had not run.

After the first half of the grace period a single statement is taken only if its time limit is over before statements are interrupted. Otherwise it is refused at once as shutting_down, which the platform's protocol tells as BUSY: nothing ran. In the first half, in which the load balancer still sends clients, every statement is taken.

--- a/chivescale/relay/_request.py
+++ b/chivescale/relay/_request.py
@@ -72,10 +72,14 @@
             return False
         return not self.writes or self.session.transaction is not None
 
+    @property
+    def ends_by(self) -> float:
+        """Time at which the statement timeout is over."""
+        return self.arrived_at + self.route.statement_timeout_ms / 1000
+
     def remaining_s(self, time: float) -> float:
         """Return the time left within the statement timeout."""
-        timeout_s = self.route.statement_timeout_ms / 1000
-        return self.arrived_at + timeout_s - time
+        return self.ends_by - time
 
     def connection_wait_s(self, time: float) -> float:
         """Return the maximum useful wait for a connection."""
--- a/chivescale/relay/_session.py
+++ b/chivescale/relay/_session.py
@@ -302,9 +302,8 @@
             if is_failure(route)
             else self._make_request(statement, route, arrived_at)
         )
-        if not is_failure(request) and transaction is not None:
-            refusal = self.host.schedule.refuse_in_transaction(now())
-            request = refusal or request
+        if not is_failure(request):
+            request = self._refuse_if_stopping(request) or request
         if is_failure(request):
             outcome = request
             if transaction is not None:
@@ -319,6 +318,13 @@
             outcome = await self.host.executor.run_single(request)
         return self._finish_statement(statement, arrived_at, outcome, request)
 
+    def _refuse_if_stopping(self, request) -> Failure | None:
+        """Return a failure if the host stops too soon for the statement."""
+        schedule = self.host.schedule
+        if self.transaction is not None:
+            return schedule.refuse_in_transaction(now())
+        return schedule.refuse_statement(now(), request.ends_by)
+
     async def _commit(self, statement: Statement, arrived_at: float) -> bytes:
         transaction = self.transaction
         if transaction is None:
@@ -326,7 +332,7 @@
             failure = Failure(ErrorKind.BAD_REQUEST, reason)
             return self.dialect.encode_failure(failure, self.state)
         request = self._make_request(statement, transaction.route, arrived_at)
-        outcome = self.host.schedule.refuse_in_transaction(now())
+        outcome = self._refuse_if_stopping(request)
         if outcome is None:
             outcome = await self.host.executor.commit(transaction, request)
         self._release_transaction()
--- a/chivescale/relay/_stop_schedule.py
+++ b/chivescale/relay/_stop_schedule.py
@@ -102,6 +102,23 @@
             return None
         return Failure(ErrorKind.TRANSACTION_ABORTED, REASON)
 
+    def refuse_statement(self, time: float, ends_by: float) -> Failure | None:
+        """Return a failure if a single statement may not end in time.
+
+        In the first half of the grace period the load balancer may still
+        send clients, and every statement is taken.
+
+        Parameters
+        ----------
+        time : float
+            Current time.
+        ends_by : float
+            When the time limit of the statement is over.
+        """
+        if time < self.transactions_until or ends_by <= self.statements_until:
+            return None
+        return Failure(ErrorKind.SHUTTING_DOWN, REASON)
+
     def closes_idle(self, time: float, opened_at: float) -> bool:
         """Return whether an idle session is closed."""
         return (
--- a/chivescale/relay/tests/steps/stop_schedule_steps.py
+++ b/chivescale/relay/tests/steps/stop_schedule_steps.py
@@ -57,3 +57,9 @@
     assert (refusal.kind if refusal else "taken") == begin
     refusal = context.schedule.refuse_in_transaction(after(ms))
     assert (refusal.kind if refusal else "goes on") == transaction
+
+
+@then("after {ms:d} ms a statement limited to {limit:d} ms is {verdict}")
+def single_statement(context, ms, limit, verdict):
+    refusal = context.schedule.refuse_statement(after(ms), after(ms + limit))
+    assert (refusal.kind if refusal else "taken") == verdict
--- a/chivescale/relay/tests/stop_schedule.feature
+++ b/chivescale/relay/tests/stop_schedule.feature
@@ -69,3 +69,23 @@
       | 6000  | 5900  | shutting_down | transaction_aborted |
       | 30000 | 14900 | taken         | goes on             |
       | 30000 | 15000 | shutting_down | transaction_aborted |
+
+  # Guards against statements that are accepted although the process may be
+  # killed before they end, and against refusals of those that can end.
+  Scenario Outline: Single statements
+    Given a host with a grace period of <grace> ms that was asked to stop
+    Then after <ms> ms a statement limited to <limit> ms is <verdict>
+
+    Examples: in the first half all are taken
+      | grace | ms    | limit | verdict       |
+      | 6000  | 0     | 60000 | taken         |
+      | 6000  | 2900  | 60000 | taken         |
+      | 6000  | 3000  | 60000 | shutting_down |
+      | 6000  | 3000  | 2000  | taken         |
+      | 6000  | 3500  | 2000  | taken         |
+      | 6000  | 3600  | 2000  | shutting_down |
+      | 6000  | 4600  | 800   | taken         |
+      | 6000  | 4800  | 800   | shutting_down |
+      | 6000  | 5600  | 10    | shutting_down |
+      | 30000 | 27500 | 2000  | taken         |
+      | 30000 | 27600 | 2000  | shutting_down |
