Answer statements that outlast the grace period of a stopping host

Statements of a long time limit that still ran when the host ended its sessions got no answer: their connection just ended.

Evidence: two rows of stopping.feature failed before with "ASSERT FAILED: ['closed']", a write that came after the signal and one that ran when it came.

The time left of each statement now ends when statements are interrupted, also that of statements that began before the request to stop. A statement that still waits for the replay of its session's values at that moment may stay without an answer; it was not sent.

--- a/chivescale/gateway/_client.py
+++ b/chivescale/gateway/_client.py
@@ -232,7 +232,7 @@
             case Pong():
                 self._resolve_pings(message)
             case Failure():
-                self._disconnect(f"cannot decode message: {message.reason}")
+                self.disconnect(f"cannot decode message: {message.reason}")
 
     def _on_disconnect(self, reason: str) -> None:
         if self.channel is None:
@@ -254,7 +254,8 @@
             if not waiter.done():
                 waiter.set_result(outcome)
 
-    def _disconnect(self, reason: str) -> None:
+    def disconnect(self, reason: str) -> None:
+        """Close the connection; calls without a response fail."""
         if self.channel is not None:
             self.channel.abort()
             self._on_disconnect(reason)
@@ -265,7 +266,7 @@
             return
         if self.ping_sent_at is not None:
             if time - self.ping_sent_at > PING_TIMEOUT_S:
-                self._disconnect(
+                self.disconnect(
                     f"no message for {time - self.last_message_at:.3f} s"
                 )
             return
--- a/chivescale/relay/_forwarder.py
+++ b/chivescale/relay/_forwarder.py
@@ -223,6 +223,11 @@
         for peer in (*self.peers.values(), *self.departed):
             peer.check_timeouts(time)
 
+    def disconnect(self, reason: str) -> None:
+        """Interrupt the statements that gateways run."""
+        for peer in (*self.peers.values(), *self.departed):
+            peer.disconnect(reason)
+
     def close(self) -> None:
         """Close the connections to gateways."""
         for peer in (*self.peers.values(), *self.departed):
--- a/chivescale/relay/_gateway.py
+++ b/chivescale/relay/_gateway.py
@@ -23,6 +23,7 @@
 from chivescale.messages import Position, decode, encode
 from chivescale.relay._prepare import PreparedStatement
 from chivescale.relay._request import StatementRequest
+from chivescale.relay._stop_schedule import StopSchedule
 from chivescale.relay._transaction import Transaction
 from chivescale.telemetry import log_event
 
@@ -213,7 +214,8 @@
             )
         transaction = forwarded.transaction if forwarded else None
         session = ForwardedSession(message, transaction)
-        request = _make_request(message, session)
+        schedule = self.server.host.schedule
+        request = _make_request(message, session, schedule)
         outcome = await self._execute(request, forwarded, message.transaction)
         failed = is_failure(outcome)
         return RunResponse(
@@ -304,7 +306,7 @@
 
 
 def _make_request(
-    message: RunRequest, session: ForwardedSession
+    message: RunRequest, session: ForwardedSession, schedule: StopSchedule
 ) -> StatementRequest:
     definition = None
     if message.definition is not None:
@@ -322,5 +324,6 @@
         message.writes,
         session,
         message.values,
+        schedule,
         definition,
     )
--- a/chivescale/relay/_request.py
+++ b/chivescale/relay/_request.py
@@ -8,6 +8,7 @@
 from chivescale.errors import ErrorKind, Failure
 from chivescale.messages import Position
 from chivescale.relay._prepare import PreparedStatement
+from chivescale.relay._stop_schedule import REASON, StopSchedule
 
 # Fraction of the latency goal for which a statement waits for a connection.
 # After a longer wait it could hardly meet the goal; the client can retry.
@@ -37,6 +38,8 @@
         Variables of the session when it sent the statement. An attempt that
         lost against a faster one may still run after the session has changed
         them.
+    schedule : StopSchedule
+        When the host interrupts statements once it was asked to stop.
     attempts : int
         Number of execution attempts.
     endpoint : str
@@ -57,6 +60,7 @@
     writes: bool
     session: object
     values: dict[str, str]
+    schedule: StopSchedule
     definition: PreparedStatement | None = None
     attempts: int = 0
     endpoint: str = ""
@@ -78,8 +82,8 @@
         return self.arrived_at + self.route.statement_timeout_ms / 1000
 
     def remaining_s(self, time: float) -> float:
-        """Return the time left within the statement timeout."""
-        return self.ends_by - time
+        """Return the time left before the statement is interrupted."""
+        return min(self.ends_by, self.schedule.statements_until) - time
 
     def connection_wait_s(self, time: float) -> float:
         """Return the maximum useful wait for a connection."""
@@ -102,6 +106,8 @@
             f"statement timeout of {self.route.statement_timeout_ms} ms"
             " exceeded"
         )
+        if self.schedule.statements_until < self.ends_by:
+            reason = REASON
         return Failure(ErrorKind.DEADLINE_NOT_STARTED, reason)
 
 
--- a/chivescale/relay/_session.py
+++ b/chivescale/relay/_session.py
@@ -289,6 +289,7 @@
             writes,
             self,
             self.values,
+            self.host.schedule,
             definition,
         )
 
