Hold gateways that stop to the schedule of their host

A stopping gateway kept transactions of other hosts until their running statement was cut, since no half of the grace period applied to them, and refused statements that were sent before its notice arrived, although it could run them. A host without another gateway then had to refuse them.

Transactions of other hosts are rolled back after the first half of the grace period when they are idle or send a statement, and statements that still arrive are taken as those of clients are. A COMMIT that was not sent, since the gateway has ended meanwhile, is told ABORTED, as other statements of the transaction are.

--- a/chivescale/relay/_drain.py
+++ b/chivescale/relay/_drain.py
@@ -24,6 +24,8 @@
         left_s = schedule.statements_until - now()
         await asyncio.sleep(min(POLL_INTERVAL_S, left_s))
         time = now()
+        if schedule.ends_transactions(time):
+            host.gateway.abort_idle_transactions()
         for session in list(host.sessions):
             if schedule.ends_transactions(time):
                 session.abort_idle_transaction(REASON)
--- a/chivescale/relay/_forwarder.py
+++ b/chivescale/relay/_forwarder.py
@@ -343,11 +343,11 @@
         transaction.peer = None
         if not is_failure(outcome):
             return outcome
-        return (
-            as_write_failure(outcome)
-            if transaction.wrote
-            else (as_aborted(outcome))
-        )
+        # A commit that was not sent ends with its transaction.
+        not_sent = outcome.kind is ErrorKind.UNREACHABLE
+        if transaction.wrote and not not_sent:
+            return as_write_failure(outcome)
+        return as_aborted(outcome)
 
     def abandon(self, transaction: Transaction) -> None:
         """Start the rollback of a transaction without waiting for it."""
--- a/chivescale/relay/_gateway.py
+++ b/chivescale/relay/_gateway.py
@@ -124,6 +124,11 @@
         for connection in self.connections:
             connection.send(GoAway())
 
+    def abort_idle_transactions(self) -> None:
+        """Roll back the open transactions that run no statement."""
+        for connection in self.connections:
+            connection.abort_idle_transactions()
+
     def close(self) -> None:
         """Stop listening and close all connections."""
         if self.server is not None:
@@ -177,6 +182,12 @@
         for number in list(self.transactions):
             self._end(number)
 
+    def abort_idle_transactions(self) -> None:
+        """Roll back the open transactions that run no statement."""
+        for number, forwarded in list(self.transactions.items()):
+            if not forwarded.running:
+                self._end(number)
+
     def _end(self, number: int) -> None:
         forwarded = self.transactions.pop(number, None)
         if forwarded is None:
@@ -201,20 +212,19 @@
         self.send(response)
 
     async def _handle(self, message: RunRequest) -> RunResponse:
-        forwarded = None
+        schedule = self.server.host.schedule
         if message.transaction:
             forwarded = self._get_or_begin(message)
-        elif self.server.host.stopping:
-            forwarded = Failure(
-                ErrorKind.SHUTTING_DOWN, "gateway is shutting down"
-            )
+        else:
+            timeout_s = message.statement_timeout_ms / 1000
+            ends_by = now() - message.age_s + timeout_s
+            forwarded = schedule.refuse_statement(now(), ends_by)
         if is_failure(forwarded):
             return RunResponse(
                 message.number, kind=forwarded.kind, reason=forwarded.reason
             )
         transaction = forwarded.transaction if forwarded else None
         session = ForwardedSession(message, transaction)
-        schedule = self.server.host.schedule
         request = _make_request(message, session, schedule)
         outcome = await self._execute(request, forwarded, message.transaction)
         failed = is_failure(outcome)
@@ -236,8 +246,13 @@
         self, message: RunRequest
     ) -> ForwardedTransaction | Failure:
         """Return the transaction of a statement, or begin it."""
+        schedule = self.server.host.schedule
         forwarded = self.transactions.get(message.transaction)
         if forwarded is not None:
+            refusal = schedule.refuse_in_transaction(now())
+            if refusal is not None:
+                self._end(message.transaction)
+                return refusal
             if forwarded.timer is not None:
                 forwarded.timer.cancel()
             return forwarded
@@ -246,8 +261,9 @@
             # one in which the client sent it.
             reason = "the gateway has rolled back the transaction"
             return Failure(ErrorKind.TRANSACTION_ABORTED, reason)
-        if self.server.host.stopping:
-            return Failure(ErrorKind.SHUTTING_DOWN, "gateway is shutting down")
+        refusal = schedule.refuse_begin(now())
+        if refusal is not None:
+            return refusal
         begun_at = now() - message.begun_age_s
         forwarded = ForwardedTransaction(
             Transaction(_make_route(message), message.read_only, begun_at)
