--- a/chivescale/relay/_gateway.py
+++ b/chivescale/relay/_gateway.py
@@ -23,6 +23,7 @@
 from chivescale.messages import Position, decode, encode
 from chivescale.relay._prepare import PreparedStatement
 from chivescale.relay._request import StatementRequest
+from chivescale.relay._stop_schedule import StopSchedule
 from chivescale.relay._transaction import Transaction
 from chivescale.telemetry import log_event
 
@@ -123,6 +124,11 @@
         for connection in self.connections:
             connection.send(GoAway())
 
+    def abort_idle_transactions(self) -> None:
+        """Roll back the open transactions that run no statement."""
+        for connection in self.connections:
+            connection.abort_idle_transactions()
+
     def close(self) -> None:
         """Stop listening and close all connections."""
         if self.server is not None:
@@ -176,6 +182,12 @@
         for number in list(self.transactions):
             self._end(number)
 
+    def abort_idle_transactions(self) -> None:
+        """Roll back the open transactions that run no statement."""
+        for number, forwarded in list(self.transactions.items()):
+            if not forwarded.running:
+                self._end(number)
+
     def _end(self, number: int) -> None:
         forwarded = self.transactions.pop(number, None)
         if forwarded is None:
@@ -200,20 +212,20 @@
         self.send(response)
 
     async def _handle(self, message: RunRequest) -> RunResponse:
-        forwarded = None
+        schedule = self.server.host.schedule
         if message.transaction:
             forwarded = self._get_or_begin(message)
-        elif self.server.host.stopping:
-            forwarded = Failure(
-                ErrorKind.SHUTTING_DOWN, "gateway is shutting down"
-            )
+        else:
+            timeout_s = message.statement_timeout_ms / 1000
+            ends_by = now() - message.age_s + timeout_s
+            forwarded = schedule.refuse_statement(now(), ends_by)
         if is_failure(forwarded):
             return RunResponse(
                 message.number, kind=forwarded.kind, reason=forwarded.reason
             )
         transaction = forwarded.transaction if forwarded else None
         session = ForwardedSession(message, transaction)
-        request = _make_request(message, session)
+        request = _make_request(message, session, schedule)
         outcome = await self._execute(request, forwarded, message.transaction)
         failed = is_failure(outcome)
         return RunResponse(
@@ -234,8 +246,13 @@
         self, message: RunRequest
     ) -> ForwardedTransaction | Failure:
         """Return the transaction of a statement, or begin it."""
+        schedule = self.server.host.schedule
         forwarded = self.transactions.get(message.transaction)
         if forwarded is not None:
+            refusal = schedule.refuse_in_transaction(now())
+            if refusal is not None:
+                self._end(message.transaction)
+                return refusal
             if forwarded.timer is not None:
                 forwarded.timer.cancel()
             return forwarded
@@ -244,8 +261,9 @@
             # one in which the client sent it.
             reason = "the gateway has rolled back the transaction"
             return Failure(ErrorKind.TRANSACTION_ABORTED, reason)
-        if self.server.host.stopping:
-            return Failure(ErrorKind.SHUTTING_DOWN, "gateway is shutting down")
+        refusal = schedule.refuse_begin(now())
+        if refusal is not None:
+            return refusal
         begun_at = now() - message.begun_age_s
         forwarded = ForwardedTransaction(
             Transaction(_make_route(message), message.read_only, begun_at)
@@ -304,7 +322,7 @@
 
 
 def _make_request(
-    message: RunRequest, session: ForwardedSession
+    message: RunRequest, session: ForwardedSession, schedule: StopSchedule
 ) -> StatementRequest:
     definition = None
     if message.definition is not None:
@@ -322,5 +340,6 @@
         message.writes,
         session,
         message.values,
+        schedule,
         definition,
     )
--- a/chivescale/relay/_session.py
+++ b/chivescale/relay/_session.py
@@ -89,8 +89,12 @@
 
     @property
     def idle(self) -> bool:
-        """Whether no statement runs and no transaction is open."""
-        return self.worker is None and self.transaction is None
+        """Whether no statement runs or arrives and no transaction is open."""
+        return (
+            self.worker is None
+            and self.transaction is None
+            and not self.channel.buffer
+        )
 
     def record_commit(self, service: str, position: Position | None) -> None:
         """Record a commit that later reads of the session must observe."""
@@ -175,6 +179,8 @@
                 self._release_transaction()
             elif self.transaction is not None:
                 self._start_timer()
+            elif self.idle and self.host.schedule.closes_answered(now()):
+                self.close()
 
     # Statements.
 
@@ -214,6 +220,9 @@
         if self.transaction is not None:
             reason = "a transaction is already open"
             return Failure(ErrorKind.BAD_REQUEST, reason)
+        refusal = self.host.schedule.refuse_begin(now())
+        if refusal is not None:
+            return refusal
         route = self.host.find_route(self.database)
         if is_failure(route):
             return route
@@ -260,8 +269,7 @@
             reason = "the transaction has failed and was rolled back"
             failure = Failure(ErrorKind.TRANSACTION_ABORTED, reason)
             return self.dialect.encode_failure(failure, self.state)
-        reason = "the transaction has failed and must be rolled back"
-        failure = Failure(ErrorKind.TRANSACTION_FAILED, reason)
+        failure = transaction.take_failure()
         return self.dialect.encode_failure(failure, self.state)
 
     def _make_request(
@@ -281,6 +289,7 @@
             writes,
             self,
             self.values,
+            self.host.schedule,
             definition,
         )
 
@@ -294,6 +303,8 @@
             if is_failure(route)
             else self._make_request(statement, route, arrived_at)
         )
+        if not is_failure(request):
+            request = self._refuse_if_stopping(request) or request
         if is_failure(request):
             outcome = request
             if transaction is not None:
@@ -308,6 +319,13 @@
             outcome = await self.host.executor.run_single(request)
         return self._finish_statement(statement, arrived_at, outcome, request)
 
+    def _refuse_if_stopping(self, request) -> Failure | None:
+        """Return a failure if the host stops too soon for the statement."""
+        schedule = self.host.schedule
+        if self.transaction is not None:
+            return schedule.refuse_in_transaction(now())
+        return schedule.refuse_statement(now(), request.ends_by)
+
     async def _commit(self, statement: Statement, arrived_at: float) -> bytes:
         transaction = self.transaction
         if transaction is None:
@@ -315,7 +333,9 @@
             failure = Failure(ErrorKind.BAD_REQUEST, reason)
             return self.dialect.encode_failure(failure, self.state)
         request = self._make_request(statement, transaction.route, arrived_at)
-        outcome = await self.host.executor.commit(transaction, request)
+        outcome = self._refuse_if_stopping(request)
+        if outcome is None:
+            outcome = await self.host.executor.commit(transaction, request)
         self._release_transaction()
         return self._finish_statement(statement, arrived_at, outcome, request)
 
@@ -346,6 +366,7 @@
             return
         log_event("transaction_ended", reason=reason, database=self.database)
         self.host.executor.abandon(transaction)
+        transaction.unreported_abort = reason
 
     def _release_transaction(self) -> None:
         transaction, self.transaction = self.transaction, None
