Refuse to admit a member under the incarnation that it has

What users could see: a group that bears one loss less than it should, or none. A coordinator that is no member calls all voters, and each follower keeps the call until it can pass it on. A follower that became the leader with such a call in hand, after the caller had been admitted, admitted it again while it was silent for an election timeout, and so made a voter a learner. Nothing showed it, since the incarnation is the same.

Evidence: the new scenario "A late request to admit a voter does not make it a learner" failed before at "the change is rejected and all members are still voters" (four voters of five).

Change: a request that names the incarnation in the configuration is rejected; the coordinator then forgets the call, as it does for a member that responds. Safe, since it only refuses a change.

--- a/chivescale/agreement/_members.py
+++ b/chivescale/agreement/_members.py
@@ -57,6 +57,11 @@
         machine.reject(event.request_id, ErrorKind.UNKNOWN_MEMBER, reason)
         return
     former = machine.configuration.find(event.name)
+    if former and former.incarnation == candidate.incarnation:
+        # A late request must not make a voter a learner.
+        reason = f"{event.name} is a member with this incarnation"
+        machine.reject(event.request_id, ErrorKind.BAD_REQUEST, reason)
+        return
     if former is not None and in_contact(machine, former, now):
         reason = f"{event.name} still responds with its former incarnation"
         machine.reject(event.request_id, ErrorKind.BAD_REQUEST, reason)
--- a/chivescale/agreement/tests/agreement.feature
+++ b/chivescale/agreement/tests/agreement.feature
@@ -101,6 +101,14 @@
     When the replacement of a healthy member is requested
     Then the change is rejected and all members are still voters
 
+  # Guards against a late call of a member that makes a voter a learner again.
+  Scenario: A late request to admit a voter does not make it a learner
+    Given a formed group with 20 commands
+    When members follower crash
+    And 1 s pass
+    And a late request to admit its present incarnation arrives
+    Then the change is rejected and all members are still voters
+
   Scenario: One member is added and another one is removed
     Given a formed group with 20 commands
     When a host c5 with all members in its settings is started and admitted
--- a/chivescale/agreement/tests/steps/agreement_steps.py
+++ b/chivescale/agreement/tests/steps/agreement_steps.py
@@ -223,6 +223,16 @@
     world.run(1.0)
 
 
+@when("a late request to admit its present incarnation arrives")
+def late_request(context):
+    world = context.world
+    name = context.roles["follower"]
+    leader = world.leader().machine
+    leader.seen[name] = leader.configuration.find(name)
+    world.change(ag.ReplaceMember, name)
+    world.run(1.0)
+
+
 @when("the leader is frozen for {seconds:g} s")
 def freeze_leader(context, seconds):
     context.world.freeze(context.roles["leader"], seconds)
