Let a stopping control host leave the voters, by parity

The configuration could not be read back and no request was served.

Cause: the successor became the fourth voter of a group of three, the old host ended without a word, and `Roster` kept it, as its intended number of voters had grown to four, for RETIRE_UNREPLACED_AFTER_S (20 s). Four voters of which two are alive have no quorum.

A leader steps down first. - Of 2k voters the leader removes one that stops, or that is silent for 3 s; never one of 2k + 1, nor one of two. No intended number is needed. - A silent learner is removed after 20 s; it used to block each removal. - A removed host returns with its data: a voter calls by its election timer, any other every 0.5 s through /v1/callers.

Why each step is safe: - Changes stay single ones, started only when the one before and an entry of the term are committed, so successive quorums overlap. - Parity: 2k - 1 voters bear as many losses as 2k, and only an even number is lowered. - Stepping down gives up a right and takes none. It keeps term and vote. - A removed voter can win only a quorum of an older configuration, and a majority of the newer one holds a later entry and refuses. - A host that returns keeps incarnation, term and vote, which is why it may vote again; an emptied disk has another incarnation, as before. Neither forms a group. - The answer "not pending" is given only once the latest configuration is committed, so a host never ends on a removal that may be undone.

--- a/chivescale/agreement/__init__.py
+++ b/chivescale/agreement/__init__.py
@@ -22,6 +22,7 @@
     SaveSnapshot,
     Send,
     SnapshotTaken,
+    StepDown,
     TakeSnapshot,
     Tick,
     Timing,
@@ -50,7 +51,13 @@
 )
 from chivescale.agreement._pending import Outcome
 from chivescale.agreement._replication import in_contact
-from chivescale.agreement._roster import Admit, Retire, Roster
+from chivescale.agreement._roster import (
+    Admit,
+    Retire,
+    Roster,
+    awaits_removal,
+    can_lose_voter,
+)
 
 __all__ = [
     "COMMAND",
@@ -91,12 +98,15 @@
     "Snapshot",
     "SnapshotRequest",
     "SnapshotTaken",
+    "StepDown",
     "TakeSnapshot",
     "Tick",
     "Timing",
     "Undelivered",
     "VoteReply",
     "VoteRequest",
+    "awaits_removal",
+    "can_lose_voter",
     "check_folder",
     "in_contact",
     "read_folder",
--- a/chivescale/agreement/_events.py
+++ b/chivescale/agreement/_events.py
@@ -93,6 +93,10 @@
     name: str
 
 
+class StepDown(msgspec.Struct, frozen=True):
+    """Ends the leadership of this member, which will stop."""
+
+
 class SnapshotTaken(msgspec.Struct, frozen=True):
     """The encoded state requested by `TakeSnapshot`."""
 
@@ -108,6 +112,7 @@
     | ConfirmRead
     | ReplaceMember
     | RemoveMember
+    | StepDown
     | SnapshotTaken
 )
 
--- a/chivescale/agreement/_host.py
+++ b/chivescale/agreement/_host.py
@@ -25,6 +25,7 @@
     SaveSnapshot,
     Send,
     SnapshotTaken,
+    StepDown,
     TakeSnapshot,
     Tick,
     Timing,
@@ -271,6 +272,11 @@
         """Remove a member from the group."""
         return await self._change_member(RemoveMember, name, deadline)
 
+    def step_down(self) -> None:
+        """Let the others elect another leader if this host leads."""
+        if self.failure is None:
+            self._step(StepDown())
+
     async def _change_member(self, event_type, name: str, deadline: float):
         reason = f"change of member {name} not committed before the deadline"
         outcome_unknown = Failure(ErrorKind.OUTCOME_UNKNOWN, reason)
--- a/chivescale/agreement/_machine.py
+++ b/chivescale/agreement/_machine.py
@@ -23,6 +23,7 @@
     SaveSnapshot,
     Send,
     SnapshotTaken,
+    StepDown,
     TakeSnapshot,
     Tick,
     Timing,
@@ -216,6 +217,8 @@
                 _members.replace_member(self, event, now)
             case RemoveMember():
                 _members.remove_member(self, event, now)
+            case StepDown():
+                _members.step_down(self, now)
             case SnapshotTaken(index, data):
                 self._compact(index, data)
         if self.role is Role.LEADER:
--- a/chivescale/agreement/_members.py
+++ b/chivescale/agreement/_members.py
@@ -7,15 +7,26 @@
 
 import msgspec
 
-from chivescale.agreement._events import Appended, RemoveMember, ReplaceMember
+from chivescale.agreement._events import (
+    Appended,
+    RemoveMember,
+    ReplaceMember,
+    Role,
+)
 from chivescale.agreement._log import configuration_entry
 from chivescale.agreement._messages import Configuration, Member
-from chivescale.agreement._replication import in_contact, replicate
+from chivescale.agreement._replication import (
+    broadcast,
+    in_contact,
+    replicate,
+)
 from chivescale.errors import ErrorKind
 
 # A learner that lags by at most this many entries counts as caught up. Under
 # constant load it never holds the last committed entry when it replies.
 CATCH_UP_ENTRIES = 64
+# Election timeouts for which a leader that has stepped down is no candidate.
+STEP_DOWN_ELECTION_TIMEOUTS = 4
 
 
 def _can_change_configuration(machine) -> bool:
@@ -104,6 +115,20 @@
         return
 
 
+def step_down(machine, now: float) -> None:
+    """End the leadership of a leader that will stop.
+
+    It stands in no election while the others elect another leader. The last
+    round tells them what is committed.
+    """
+    if machine.role is not Role.LEADER:
+        return
+    broadcast(machine, now)
+    machine.become_follower(machine.term, None, now)
+    pause_s = STEP_DOWN_ELECTION_TIMEOUTS * machine.timing.election_timeout_s
+    machine.election_due = now + pause_s
+
+
 def _caught_up(machine, member: Member, now: float) -> bool:
     progress = machine.leading.progress.get((member.name, member.incarnation))
     return (
--- a/chivescale/agreement/_roster.py
+++ b/chivescale/agreement/_roster.py
@@ -1,17 +1,30 @@
-"""Automatic membership changes for groups without an operator."""
+"""Automatic membership changes for groups without an operator.
+
+Nobody tells the group how many members it has, so it must not count on an
+intended number. It relies on the parity instead: an even number of voters
+bears the loss of as many disks as the odd number below it, with a larger
+quorum. Removing one of 2k voters keeps what the group bears and lowers the
+quorum; removing one of 2k + 1 would cost the group one loss, so that is never
+done.
+"""
 
 import msgspec
 
 from chivescale.agreement._messages import Configuration, Member
 
-# An unreachable voter is removed after this time if a replacement has been
-# admitted.
+# An unreachable voter is removed after this time if the group bears as many
+# losses without it.
+RETIRE_AFTER_S = 3.0
+# The same if a member with a new name became a voter meanwhile.
 RETIRE_REPLACED_AFTER_S = 1.0
-# Without a replacement it is removed only after this longer time, when it is
-# not expected to return, and only while more voters remain than the smallest
-# group that tolerates the loss of one.
-RETIRE_UNREPLACED_AFTER_S = 20.0
-MIN_VOTERS = 3
+# A learner counts towards no quorum; an unreachable one is removed so that it
+# does not stay a member for good.
+RETIRE_LEARNER_AFTER_S = 20.0
+# Without a voter fewer, the group would bear no loss.
+MIN_VOTERS_TO_RETIRE = 4
+# A member that stops repeats its request more often than this. If it is
+# reachable later, it has started again.
+LEAVE_REPEATED_WITHIN_S = 1.0
 
 
 class Admit(msgspec.Struct, frozen=True):
@@ -26,22 +39,50 @@
     name: str
 
 
+def can_lose_voter(configuration: Configuration) -> bool:
+    """Return whether the group bears as many losses with a voter fewer."""
+    voters = len(configuration.voters)
+    return voters >= MIN_VOTERS_TO_RETIRE and voters % 2 == 0
+
+
+def awaits_removal(
+    name: str, configuration: Configuration, applicants: dict[str, Member]
+) -> bool:
+    """Return whether a voter that stops may soon be removed.
+
+    If the group needs it, it is removed only once a learner has become a
+    voter.
+    """
+    member = configuration.find(name)
+    if member is None or not member.voter:
+        return False
+    learners = len(configuration.members) > len(configuration.voters)
+    new_names = any(configuration.find(other) is None for other in applicants)
+    return can_lose_voter(configuration) or learners or new_names
+
+
 class Roster:
     """Plans single membership changes during one leadership.
 
     Attributes
     ----------
-    target_voters : int
-        Intended number of voters. It grows with members that join while all
-        voters are reachable. A member that joins while a voter is
-        unreachable counts as its replacement.
     unreachable_since : dict of str to float
-        Time since which a voter has been unreachable, by name.
+        Time since which a member has been unreachable, by name.
+    leaving : dict of str to float
+        Members that are stopping, and when they last said so.
+    replaced : set of str
+        Unreachable voters since whose loss a new name has become a voter.
     """
 
     def __init__(self):
-        self.target_voters = 0
         self.unreachable_since: dict[str, float] = {}
+        self.leaving: dict[str, float] = {}
+        self.replaced: set[str] = set()
+        self.voter_names: set[str] | None = None
+
+    def leave(self, name: str, now: float) -> None:
+        """Record that a member, but not the leader, is stopping."""
+        self.leaving[name] = now
 
     def plan(
         self,
@@ -54,9 +95,9 @@
         """Return the next membership change, if any.
 
         A member that returns with an empty disk replaces its former
-        incarnation. A member with a new name is added. If the group has
-        more voters than intended, the voter that has been unreachable for
-        longest is removed.
+        incarnation. A member with a new name is added. A voter that stops or
+        is unreachable is removed if the group bears as many losses without
+        it.
 
         Parameters
         ----------
@@ -71,34 +112,55 @@
         now : float
             Monotonic time in seconds.
         """
-        voters = len(configuration.voters)
-        self._update_unreachable(own, configuration, reachable, now)
-        if not self.target_voters or not self.unreachable_since:
-            self.target_voters = max(self.target_voters, voters)
+        self._update(own, configuration, reachable, now)
+        stopping = {m.name for m in configuration.voters} & set(self.leaving)
+        if stopping and can_lose_voter(configuration):
+            return Retire(min(stopping))
         for name in sorted(applicants):
             member = configuration.find(name)
+            if name in self.leaving:
+                continue
             if member is None or name not in reachable:
                 return Admit(name)
-        if len(configuration.members) > voters:
-            # Wait until the learner has become a voter.
-            return None
-        return self._retire(voters, now)
-
-    def _retire(self, voters: int, now: float) -> Retire | None:
-        if not self.unreachable_since or voters <= MIN_VOTERS:
+        return self._retire(configuration, reachable, now)
+
+    def _retire(self, configuration, reachable, now: float) -> Retire | None:
+        learners = {m.name for m in configuration.members if not m.voter}
+        silent = [
+            (since, name)
+            for name, since in self.unreachable_since.items()
+            if now - since >= self._timeout_s(name, learners)
+        ]
+        for _, name in sorted(silent):
+            if name in learners:
+                return Retire(name)
+        # A learner that is about to become a voter changes the parity.
+        if not silent or learners & reachable:
             return None
-        since, name = min((at, n) for n, at in self.unreachable_since.items())
-        timeout_s = RETIRE_REPLACED_AFTER_S
-        if voters <= self.target_voters:
-            timeout_s = RETIRE_UNREPLACED_AFTER_S
-        return Retire(name) if now - since >= timeout_s else None
-
-    def _update_unreachable(
-        self, own, configuration, reachable, now: float
-    ) -> None:
-        names = {member.name for member in configuration.voters} - {own}
+        return (
+            Retire(min(silent)[1]) if can_lose_voter(configuration) else None
+        )
+
+    def _timeout_s(self, name: str, learners: set[str]) -> float:
+        if name in learners:
+            return RETIRE_LEARNER_AFTER_S
+        if name in self.replaced:
+            return RETIRE_REPLACED_AFTER_S
+        return RETIRE_AFTER_S
+
+    def _update(self, own, configuration, reachable, now: float) -> None:
+        names = {member.name for member in configuration.members} - {own}
         for name in list(self.unreachable_since):
             if name not in names or name in reachable:
                 del self.unreachable_since[name]
         for name in names - reachable:
             self.unreachable_since.setdefault(name, now)
+        for name, asked_at in list(self.leaving.items()):
+            silent = name in names and name not in reachable
+            if not silent and now - asked_at >= LEAVE_REPEATED_WITHIN_S:
+                del self.leaving[name]
+        voters = {member.name for member in configuration.voters}
+        if self.voter_names is not None and voters - self.voter_names:
+            self.replaced |= set(self.unreachable_since)
+        self.voter_names = voters
+        self.replaced &= set(self.unreachable_since)
--- a/chivescale/agreement/tests/agreement.feature
+++ b/chivescale/agreement/tests/agreement.feature
@@ -101,6 +101,31 @@
     When the replacement of a healthy member is requested
     Then the change is rejected and all members are still voters
 
+  # Guards against a leader that stops as a voter that the group can do
+  # without, and against one that is elected again at once.
+  Scenario: The leader hands over, is removed and returns with its disk
+    Given a formed group with 20 commands
+    When a host c5 with all members in its settings is started and admitted
+    And the leader steps down
+    Then a command is accepted within 2 s
+    And the former leader has not led again
+    When the former leader is removed
+    And members leader crash
+    And members leader are started
+    And 2 s pass
+    Then a command is accepted within 1 s
+    And the former leader has not led again
+    When the former leader is admitted again
+    Then the former leader votes with its former incarnation
+
+  Scenario Outline: Voters leave, return and are replaced under random faults
+    Then <runs> random runs of <steps> actions with leaving voters violate no invariant
+
+    Examples:
+      | runs | steps |
+      | 40   | 200   |
+      | 4    | 600   |
+
   # Guards against a late call of a member that makes a voter a learner again.
   Scenario: A late request to admit a voter does not make it a learner
     Given a formed group with 20 commands
--- a/chivescale/agreement/tests/steps/agreement_steps.py
+++ b/chivescale/agreement/tests/steps/agreement_steps.py
@@ -8,6 +8,7 @@
 
 from chivescale import agreement as ag
 from chivescale.agreement.tests.fakes import NAMES, TIMING, Host, World
+from chivescale.agreement.tests.leaving_runs import run_leaving
 from chivescale.agreement.tests.random_runs import (
     ACTIONS,
     run_actions,
@@ -233,6 +234,61 @@
     world.run(1.0)
 
 
+@when("the leader steps down")
+def leader_steps_down(context):
+    world, host = context.world, context.world.leader()
+    world.run(0.2)
+    context.roles["leader"] = host.name
+    context.leader_incarnation = host.disk.incarnation
+    context.removed_in_term = host.machine.term
+    world._step(host, ag.StepDown())
+
+
+@when("the former leader is removed")
+def former_leader_removed(context):
+    world, name = context.world, context.roles["leader"]
+    world.change(ag.RemoveMember, name)
+    world.names = tuple(n for n in (*NAMES, "c5") if n != name)
+    world.run(1.0)
+
+
+@then(
+    "{runs:d} random runs of {steps:d} actions with leaving voters violate"
+    " no invariant"
+)
+def leaving_runs(context, runs, steps):
+    worlds = [run_leaving(seed, steps) for seed in range(1, runs + 1)]
+    # The checks are meaningful only if voters left while the group worked.
+    assert sum(w.left for w in worlds) > 2 * runs
+    assert sum(len(w.acknowledged) for w in worlds) > runs * steps // 2
+
+
+@then("the former leader has not led again")
+def has_not_led(context):
+    world = context.world
+    for term, identity in world.leaders.items():
+        former = identity.startswith(f"{context.roles['leader']}/")
+        assert not former or term <= context.removed_in_term, world.leaders
+
+
+@when("the former leader is admitted again")
+def former_leader_admitted(context):
+    world, name = context.world, context.roles["leader"]
+    assert _seen(world, name)
+    world.change(ag.ReplaceMember, name)
+    world.run(1.0)
+
+
+@then("the former leader votes with its former incarnation")
+def former_leader_votes(context):
+    world = context.world
+    host = world.hosts[context.roles["leader"]]
+    assert host.disk.incarnation == context.leader_incarnation
+    assert _votes(world, host)
+    world.names = (*NAMES, "c5")
+    world.check_outcome()
+
+
 @when("the leader is frozen for {seconds:g} s")
 def freeze_leader(context, seconds):
     context.world.freeze(context.roles["leader"], seconds)
--- a/chivescale/agreement/tests/steps/roster_steps.py
+++ b/chivescale/agreement/tests/steps/roster_steps.py
@@ -55,6 +55,33 @@
         assert plan(context) is None
 
 
+@when("{name} is a learner")
+def becomes_learner(context, name):
+    learner = member(name, voter=False)
+    context.configuration = context.configuration.with_member(learner)
+
+
+@when("the learner {name} has caught up")
+def has_caught_up(context, name):
+    context.configuration = context.configuration.with_member(member(name))
+
+
+@when("{name} stops")
+def stops(context, name):
+    context.roster.leave(name, context.now)
+
+
+@when("{name} is removed")
+def is_removed(context, name):
+    context.configuration = context.configuration.without(name)
+
+
+@then("{name} will wait: {waits}")
+def will_wait(context, name, waits):
+    found = ag.awaits_removal(name, context.configuration, {})
+    assert found == (waits == "yes"), found
+
+
 @then("the leader will {change}")
 def change_is(context, change):
     found = plan(context, context.applicants, context.unreachable)
--- a/chivescale/coordinator/_host.py
+++ b/chivescale/coordinator/_host.py
@@ -24,6 +24,7 @@
     Gossip,
     GroupStatus,
     LeaseRequest,
+    LeaveRequest,
     OrderPromotion,
     RevokeRequest,
     StoreCatalog,
@@ -135,6 +136,7 @@
             "/v1/watch": self._on_watch,
             "/v1/gossip": self._on_gossip,
             "/v1/callers": self._on_callers,
+            "/v1/leave": self._on_leave,
             "/v1/opinions": self._on_opinions,
             "/v1/lease": self._on_lease,
             "/v1/revoke": self._on_revoke,
@@ -180,6 +182,14 @@
             )
         ]
 
+    async def leave(self) -> None:
+        """Leave the voters of the group, if it can do without this one.
+
+        Call it before `stop`, while requests are still answered. A host that
+        starts again with its data directory is admitted again.
+        """
+        await self.membership.leave()
+
     async def stop(self) -> None:
         """Stop all tasks and close the data directory."""
         for task in (*self.tasks, *self.background):
@@ -398,6 +408,12 @@
         self.membership.record_join_requests(callers.members)
         return Empty()
 
+    async def _on_leave(self, body: bytes):
+        request = decode(body, LeaveRequest)
+        if is_failure(request):
+            return request
+        return await self.membership.on_leave(request)
+
     async def _on_opinions(self, body: bytes):
         report = decode(body, ReachabilityReport)
         if is_failure(report):
--- a/chivescale/coordinator/_membership.py
+++ b/chivescale/coordinator/_membership.py
@@ -2,10 +2,22 @@
 
 import asyncio
 
-from chivescale.agreement import Admit, Member, Retire, Roster, in_contact
+from chivescale.agreement import (
+    Admit,
+    Member,
+    Retire,
+    Roster,
+    awaits_removal,
+    can_lose_voter,
+    in_contact,
+)
 from chivescale.clock import now
-from chivescale.coordinator._messages import Callers
-from chivescale.errors import ErrorKind, is_failure
+from chivescale.coordinator._messages import (
+    Callers,
+    LeaveAnswer,
+    LeaveRequest,
+)
+from chivescale.errors import ErrorKind, Failure, is_failure
 from chivescale.messages import Empty
 from chivescale.telemetry import log_event
 
@@ -13,6 +25,12 @@
 CHANGE_TIMEOUT_S = 1.0
 # Delay before the data directory of a failed member is opened again.
 REOPEN_DELAY_S = 0.5
+# A member that stops asks the leader to be removed for at most this time, a
+# third of the shortest known time until the process is killed.
+LEAVE_TIMEOUT_S = 2.0
+LEAVE_PAUSE_S = 0.1
+# Interval at which a member that is no voter and hears no leader calls.
+CALL_INTERVAL_S = 0.5
 
 
 class MembershipManager:
@@ -29,6 +47,8 @@
         self.roster = Roster()
         self.roster_term = 0
         self.reopen_requested = False
+        self.leaving = False
+        self.called_at = float("-inf")
 
     def request_reopen(self) -> None:
         """Reopen the log with the current seeds at the next check."""
@@ -55,6 +75,115 @@
                 await self._change_members()
             elif agreement.machine.seen and agreement.leader_address:
                 await self._forward_join_requests()
+            elif self._is_outside():
+                await self._call_members()
+
+    # Leaving and returning.
+
+    async def leave(self) -> None:
+        """Ask the leader to remove this voter before it stops.
+
+        Returns as soon as it is removed, or will not be because the group
+        needs it.
+        """
+        self.leaving = True
+        deadline = now() + LEAVE_TIMEOUT_S
+        outcome = "timeout"
+        while now() < deadline:
+            machine = self.host.agreement.machine
+            own = machine and machine.formed and machine.own_member
+            if not own or not own.voter or self.host.agreement.failure:
+                outcome = "no voter"
+                break
+            answer = await self._ask_to_leave(LeaveRequest(own))
+            if not is_failure(answer) and not answer.pending:
+                outcome = "answered"
+                break
+            await asyncio.sleep(LEAVE_PAUSE_S)
+        log_event("member_leave", outcome=outcome)
+
+    async def _ask_to_leave(
+        self, request: LeaveRequest
+    ) -> LeaveAnswer | Failure:
+        agreement = self.host.agreement
+        if agreement.is_leader:
+            return self._hand_over(agreement)
+        address = agreement.leader_address
+        if not address or address == self.host.settings.address:
+            return Failure(ErrorKind.NOT_LEADER, "no leader is known")
+        return await self.host.client.call(
+            address, "POST", "/v1/leave", LeaveAnswer, request
+        )
+
+    def _hand_over(self, agreement) -> LeaveAnswer:
+        """Step down if another leader can remove this voter."""
+        pending = self._awaits_removal(agreement.machine, agreement.name)
+        if pending and can_lose_voter(agreement.configuration):
+            agreement.step_down()
+        return LeaveAnswer(pending)
+
+    async def on_leave(self, request: LeaveRequest) -> LeaveAnswer | Failure:
+        """Remove a voter that stops, if the group can do without it."""
+        agreement = self.host.agreement
+        if not agreement.is_leader:
+            return Failure(ErrorKind.NOT_LEADER, "not the leader")
+        machine, member = agreement.machine, request.member
+        self._use_term(machine)
+        if machine.configuration.find(member.name, member.incarnation):
+            self.roster.leave(member.name, now())
+            await self._change_members()
+        return LeaveAnswer(self._awaits_removal(machine, member.name))
+
+    def _awaits_removal(self, machine, name: str) -> bool:
+        if machine.log.configuration_index > machine.commit:
+            return True
+        return awaits_removal(name, machine.configuration, machine.seen)
+
+    def _is_outside(self) -> bool:
+        """Return whether this member of a group is no voter and alone."""
+        machine = self.host.agreement.machine
+        if self.leaving or not machine.formed:
+            return False
+        own = machine.own_member
+        if own is not None and own.voter:
+            # The election timer of a voter calls the others.
+            return False
+        time = now()
+        return min(self.host.contact_age_s(), time - self.called_at) >= (
+            CALL_INTERVAL_S
+        )
+
+    async def _call_members(self) -> None:
+        """Ask to be admitted; a member that was removed has no vote to ask."""
+        self.called_at = now()
+        host, machine = self.host, self.host.agreement.machine
+        own = Member(
+            machine.name, host.settings.address, machine.incarnation, False
+        )
+        addresses = {m.address for m in machine.configuration.members}
+        addresses |= set(host.settings.seeds)
+        await asyncio.gather(
+            *(
+                host.client.call(
+                    address, "POST", "/v1/callers", Empty, Callers((own,))
+                )
+                for address in sorted(addresses - {host.settings.address})
+            )
+        )
+
+    # Changes by the leader.
+
+    def _use_term(self, machine) -> None:
+        if machine.term != self.roster_term:
+            self.roster, self.roster_term = Roster(), machine.term
+
+    def _reachable(self, machine) -> set[str]:
+        time = now()
+        return {
+            member.name
+            for member in machine.configuration.members
+            if in_contact(machine, member, time)
+        }
 
     async def _reopen_log(self) -> None:
         """Restart from the durable state after a failure or new seeds."""
@@ -76,18 +205,12 @@
         agreement = self.host.agreement
         machine = agreement.machine
         time = now()
-        reachable = {
-            member.name
-            for member in machine.configuration.members
-            if in_contact(machine, member, time)
-        }
-        if machine.term != self.roster_term:
-            self.roster, self.roster_term = Roster(), machine.term
+        self._use_term(machine)
         change = self.roster.plan(
             agreement.name,
             machine.configuration,
             machine.seen,
-            reachable,
+            self._reachable(machine),
             time,
         )
         deadline = time + CHANGE_TIMEOUT_S
--- a/chivescale/coordinator/_messages.py
+++ b/chivescale/coordinator/_messages.py
@@ -89,6 +89,25 @@
     members: tuple[Member, ...]
 
 
+class LeaveRequest(msgspec.Struct, frozen=True):
+    """Tells the leader that a member is stopping."""
+
+    member: Member
+
+
+class LeaveAnswer(msgspec.Struct, frozen=True):
+    """Answer of the leader to a member that is stopping.
+
+    Attributes
+    ----------
+    pending : bool
+        Whether the member is still a voter and will be removed soon, so that
+        it should ask again before it stops.
+    """
+
+    pending: bool
+
+
 class StoreOrder(msgspec.Struct, frozen=True):
     """Compressed configuration document, forwarded to the leader."""
 
--- a/chivescale/coordinator/tests/steps/disk_steps.py
+++ b/chivescale/coordinator/tests/steps/disk_steps.py
@@ -37,7 +37,13 @@
 class Coordinator:
     """One coordinator with its server and its disk."""
 
-    def __init__(self, address: str, seeds: tuple[str, ...], folder: str):
+    def __init__(
+        self,
+        address: str,
+        seeds: tuple[str, ...],
+        folder: str,
+        may_form: bool = True,
+    ):
         self.address = address
         self.full = False
         self.host = CoordinatorHost(
@@ -47,7 +53,7 @@
                 address=address,
                 seeds=seeds,
                 data_dir=str(pathlib.Path(folder) / address),
-                may_form=True,
+                may_form=may_form,
             ),
             HttpClient(),
             None,
