Keep the permission to form a group in the log

Cause: the permission was a setting of the process only, so the restarted one refused to vote for the first configuration.

Evidence: forming.feature, "A process of the first start ends before the group forms", both rows, failed before at "the group forms within 5 s" (voting False, no leader). Its other scenarios passed before and after.

Change: a process that may form writes the names of the seeds into the first record of the log when it creates the folder. One that finds there the names of its own seeds may form as well. Older logs have no such field and keep the former rule; older builds ignore it.

Why it is safe: the group forms only with the vote of every seed, each without a configuration. The field is written and lost together with the incarnation, so a seed that lost its disk has neither the field nor, as bootstrap is false then, the setting. A committed first configuration is on a quorum of the seeds; these either hold it and refuse, or lost their disks and may not form. Other seeds than those of the first start never match.

--- a/chivescale/agreement/_durable.py
+++ b/chivescale/agreement/_durable.py
@@ -38,6 +38,10 @@
         Data folder; created if it does not exist.
     write, fsync : callable, optional
         System calls; tests replace them to inject disk faults.
+    first_members : tuple of str, optional
+        Names of the members that the group may be formed with, if this is
+        the first start of the whole system. Stored only when the folder is
+        created.
     """
 
     def __init__(
@@ -45,10 +49,12 @@
         folder: str | pathlib.Path,
         write: collections.abc.Callable[[int, bytes], int] = os.write,
         fsync: collections.abc.Callable[[int], None] = os.fsync,
+        first_members: tuple[str, ...] = (),
     ):
         self.folder = pathlib.Path(folder)
         self.write = write
         self.fsync = fsync
+        self.first_members = tuple(sorted(first_members))
         self.incarnation = ""
         self.failure: Failure | None = None
         self.lock: int | None = None
@@ -163,8 +169,9 @@
         if content.exists or content.error is not None:
             return content
         # The incarnation is stored in the log file, so a folder that lost its
-        # log always gets a new incarnation.
-        header = LogHeader(uuid.uuid4().hex, 0)
+        # log always gets a new incarnation. So is the permission to form the
+        # group, which a folder that replaces a lost one must not have.
+        header = LogHeader(uuid.uuid4().hex, 0, self.first_members)
         self._replace_file(LOG_NAME, header)
         return read_folder(self.folder)
 
--- a/chivescale/agreement/_events.py
+++ b/chivescale/agreement/_events.py
@@ -38,12 +38,20 @@
 
 
 class Recovered(msgspec.Struct, frozen=True):
-    """Durable state that a member recovers at start."""
+    """Durable state that a member recovers at start.
+
+    Attributes
+    ----------
+    first_members : tuple of str
+        Names of the members that the group may be formed with, if the folder
+        was created at the first start of the whole system; otherwise empty.
+    """
 
     incarnation: str
     hard_state: HardState = HardState()
     snapshot: Snapshot | None = None
     entries: tuple[Entry, ...] = ()
+    first_members: tuple[str, ...] = ()
 
 
 class Tick(msgspec.Struct, frozen=True):
--- a/chivescale/agreement/_folder.py
+++ b/chivescale/agreement/_folder.py
@@ -55,6 +55,7 @@
     """Data read from a folder, up to the first error."""
 
     incarnation: str = ""
+    first_members: tuple[str, ...] = ()
     hard_state: HardState = HardState()
     snapshot: Snapshot | None = None
     entries: list[Entry] = msgspec.field(default_factory=list)
@@ -69,7 +70,11 @@
         if self.snapshot is not None:
             entries = _entries_after(self.snapshot, entries)
         return Recovered(
-            self.incarnation, self.hard_state, self.snapshot, entries
+            self.incarnation,
+            self.hard_state,
+            self.snapshot,
+            entries,
+            self.first_members,
         )
 
 
@@ -155,6 +160,7 @@
         content.error = _corrupt(path, 0, reason)
         return
     content.incarnation = log_scan.records[0].incarnation
+    content.first_members = log_scan.records[0].first_members
     base = log_scan.records[0].base_index
     for record, offset in zip(log_scan.records, log_scan.offsets, strict=True):
         fault = offset and _load_batch(content, base, record)
--- a/chivescale/agreement/_host.py
+++ b/chivescale/agreement/_host.py
@@ -18,6 +18,7 @@
     Propose,
     ReadConfirmed,
     Received,
+    Recovered,
     Rejected,
     RemoveMember,
     ReplaceMember,
@@ -171,11 +172,19 @@
             self.timing,
             self.rng,
             address=self.address,
-            may_form=self.may_form,
+            may_form=self.may_form or self._first_start(recovered),
         )
         self._step(Tick())
         return self.failure
 
+    def _first_start(self, recovered: Recovered) -> bool:
+        """Return whether a process that might form created the folder.
+
+        The group then forms only with the members it had at that time.
+        """
+        names = tuple(sorted(member.name for member in self.initial.members))
+        return bool(names) and recovered.first_members == names
+
     async def close(self) -> None:
         """Stop; queued commands end with ``SHUTTING_DOWN``.
 
--- a/chivescale/agreement/_records.py
+++ b/chivescale/agreement/_records.py
@@ -32,10 +32,14 @@
         Identifier of the data folder.
     base_index : int
         Entries up to this index are in the snapshot.
+    first_members : tuple of str
+        If the folder was created by a process that was allowed to form the
+        group: sorted names of the members that it would have had.
     """
 
     incarnation: str
     base_index: int
+    first_members: tuple[str, ...] = ()
 
 
 class Batch(msgspec.Struct, frozen=True, tag=True):
--- a/chivescale/coordinator/_host.py
+++ b/chivescale/coordinator/_host.py
@@ -152,7 +152,10 @@
         return AgreementHost(
             settings.address,
             tuple(ControlMember(seed, seed) for seed in settings.seeds),
-            DurableLog(pathlib.Path(settings.data_dir)),
+            DurableLog(
+                pathlib.Path(settings.data_dir),
+                first_members=settings.seeds if settings.may_form else (),
+            ),
             self.client,
             AgreementSettings(
                 heartbeat_ms=HEARTBEAT_MS,
