--- a/chivescale/agreement/_host.py
+++ b/chivescale/agreement/_host.py
@@ -18,6 +18,7 @@
     Propose,
     ReadConfirmed,
     Received,
+    Recovered,
     Rejected,
     RemoveMember,
     ReplaceMember,
@@ -25,6 +26,7 @@
     SaveSnapshot,
     Send,
     SnapshotTaken,
+    StepDown,
     TakeSnapshot,
     Tick,
     Timing,
@@ -173,11 +175,19 @@
             self.timing,
             self.rng,
             address=self.address,
-            may_form=self.may_form,
+            may_form=self.may_form or self._first_start(recovered),
         )
         self._step(Tick())
         return self.failure
 
+    def _first_start(self, recovered: Recovered) -> bool:
+        """Return whether a process that might form created the folder.
+
+        The group then forms only with the members it had at that time.
+        """
+        names = tuple(sorted(member.name for member in self.initial.members))
+        return bool(names) and recovered.first_members == names
+
     async def close(self) -> None:
         """Stop; queued commands end with ``SHUTTING_DOWN``.
 
@@ -279,6 +289,11 @@
         """Remove a member from the group."""
         return await self._change_member(RemoveMember, name, deadline)
 
+    def step_down(self) -> None:
+        """Let the others elect another leader if this host leads."""
+        if self.failure is None:
+            self._step(StepDown())
+
     async def _change_member(self, event_type, name: str, deadline: float):
         reason = f"change of member {name} not committed before the deadline"
         outcome_unknown = Failure(ErrorKind.OUTCOME_UNKNOWN, reason)
--- a/chivescale/coordinator/_host.py
+++ b/chivescale/coordinator/_host.py
@@ -25,6 +25,7 @@
     Gossip,
     GroupStatus,
     LeaseRequest,
+    LeaveRequest,
     OrderPromotion,
     RevokeRequest,
     StoreCatalog,
@@ -150,6 +151,7 @@
             "/v1/watch": self._on_watch,
             "/v1/gossip": self._on_gossip,
             "/v1/callers": self._on_callers,
+            "/v1/leave": self._on_leave,
             "/v1/opinions": self._on_opinions,
             "/v1/lease": self._on_lease,
             "/v1/revoke": self._on_revoke,
@@ -173,7 +175,10 @@
         return AgreementHost(
             settings.address,
             tuple(ControlMember(seed, seed) for seed in settings.seeds),
-            DurableLog(pathlib.Path(settings.data_dir)),
+            DurableLog(
+                pathlib.Path(settings.data_dir),
+                first_members=settings.seeds if settings.may_form else (),
+            ),
             self.client,
             AgreementSettings(
                 heartbeat_ms=HEARTBEAT_MS,
@@ -205,6 +210,14 @@
             )
         ]
 
+    async def leave(self) -> None:
+        """Leave the voters of the group, if it can do without this one.
+
+        Call it before `stop`, while requests are still answered. A host that
+        starts again with its data directory is admitted again.
+        """
+        await self.membership.leave()
+
     async def stop(self) -> None:
         """Stop all tasks and close the data directory."""
         for task in (*self.tasks, *self.background):
@@ -426,6 +439,12 @@
         self.membership.record_join_requests(callers.members)
         return Empty()
 
+    async def _on_leave(self, body: bytes):
+        request = decode(body, LeaveRequest)
+        if is_failure(request):
+            return request
+        return await self.membership.on_leave(request)
+
     async def _on_opinions(self, body: bytes):
         report = decode(body, ReachabilityReport)
         if is_failure(report):
--- a/chivescale/coordinator/tests/steps/disk_steps.py
+++ b/chivescale/coordinator/tests/steps/disk_steps.py
@@ -44,7 +44,6 @@
         address: str,
         seeds: tuple[str, ...],
         folder: str,
-        *,
         may_form: bool = True,
     ):
         self.address = address
