Explore orders of events in the coordinator group

The group of coordinators lost its quorum for good in two ways that no test had shown, because every test ran one or two faults that somebody had thought of.

The explorer runs the real decision machines (Agreement, Roster) in virtual time, in groups of 3, 4, 6 and 8 hosts of which the first three form the group. Orders consist of replacements with and without SIGTERM, lost disks, kills, freezes, cuts, power losses, splits, new seeds, changes and compaction, each only while no more slots are lost than the group tolerates. Messages above the receiver's limit are refused, as the server does. After each order the group must be whole within 20 s, and no acknowledged change may be lost. A failing order is shrunk and printed as a row of the feature. `make explore` walks every order of up to DEPTH events, with equal states walked once, and then random orders.

Both are rows tagged @known_red until they are fixed, as are random orders of all events.

The untagged rows pass: 14 scenarios in 14 to 17 s.

--- /dev/null
+++ b/chivescale/agreement/tests/explorer.feature
@@ -0,0 +1,56 @@
+Feature: Orders of events in a group of coordinators
+  Guards against a group that loses its quorum for good, or a machine that is
+  never admitted, although no more machines are lost than tolerated. `make
+  explore` walks many more orders and prints failing ones as rows of this
+  feature.
+
+  Scenario Outline: A group survives an order of events
+    Then <size> hosts survive with seed <seed>: <order>
+
+    Examples: replacements, lost disks and power losses
+      | size | seed | order                                                    |
+      | 3    | 1    | calm unplanned follower, ready wipe follower             |
+      | 3    | 1    | calm wipe leader, ready wipe leader, ready wipe follower |
+      | 3    | 1    | soon wipe_power leader, ready wipe_power follower        |
+      | 3    | 1    | soon halves all, soon wipe follower, soon power all      |
+      | 3    | 1    | soon compact all, calm wipe leader, ready wipe follower  |
+      | 3    | 1    | soon seeds all, ready unplanned leader, calm kill same   |
+      | 4    | 1    | calm unplanned leader, ready wipe follower               |
+      | 6    | 1    | soon wipe leader, soon wipe leader, soon power all       |
+      | 8    | 1    | soon unplanned leader, soon unplanned leader             |
+
+    # A full batch of the log exceeds the limit of the receiver.
+    @known_red
+    Examples: a member far behind, known to fail
+      | size | seed | order                                |
+      | 3    | 1    | calm many all, calm wipe follower    |
+      | 3    | 1    | calm many all, calm planned follower |
+      | 3    | 1    | calm halves all, ready many all      |
+
+    # The member that left stays a voter for 20 s.
+    @known_red
+    Examples: a disk lost after a planned replacement, known to fail
+      | size | seed | order                                     |
+      | 3    | 1    | calm planned follower, calm wipe follower |
+
+  Scenario Outline: Every order of one event
+    Then every order of 1 event of <size> hosts is survived
+
+    Examples:
+      | size |
+      | 3    |
+      | 4    |
+      | 6    |
+      | 8    |
+
+  Scenario Outline: Random orders of 3 to 10 events
+    Then <count> random orders from seed <seed> without <kinds> are survived
+
+    Examples: without the events of the known failures
+      | count | seed | kinds        |
+      | 40    | 1    | planned many join_halves |
+
+    @known_red
+    Examples: all events, known to fail
+      | count | seed | kinds     |
+      | 40    | 1    | exception |
