Show that a learner is lost if its admission is not committed

An empty machine that joins while the group is split is never admitted: it stays outside until its disk is emptied again, so one lost disk more may end the group.

The leader in the smaller half appends the configuration that admits the machine and sends it to the machine before a quorum has it. The other half elects a leader, which discards the entry. The machine keeps it: it counts itself as a learner of a formed group, sends no vote request, and so no leader ever sees it. Nobody sends anything to it either.

The explorer's event `join_halves` splits the group just as the machine asks to be admitted.

--- a/chivescale/agreement/tests/explorer.feature
+++ b/chivescale/agreement/tests/explorer.feature
@@ -33,6 +33,17 @@
       | size | seed | order                                     |
       | 3    | 1    | calm planned follower, calm wipe follower |
 
+    # A learner keeps the configuration that admitted it, which the next
+    # leader discarded, and never asks again.
+    @known_red
+    Examples: an admission that is never committed, known to fail
+      | size | seed | order                                   |
+      | 3    | 4    | calm join_halves follower               |
+      | 4    | 3    | calm join_halves leader                 |
+      | 6    | 2    | calm join_halves follower               |
+      | 6    | 299  | ready planned follower, soon halves all |
+      | 8    | 1    | calm join_halves leader                 |
+
   Scenario Outline: Every order of one event
     Then every order of 1 event of <size> hosts is survived
 
