Use an endpoint again whose heartbeats are heard again

Cause: silence and deregistration were the same fact, and 'gone' counted above the sequence of heartbeats.

Change: the sequence counts first. Silence keeps the sequence of the last heartbeat, so that a later one counts; the end of an incarnation sets the last sequence, so that none does.

--- a/chivescale/registry/_records.py
+++ b/chivescale/registry/_records.py
@@ -26,7 +26,9 @@
 Slots = typing.Annotated[int, msgspec.Meta(ge=0, le=2**31 - 1)]
 # The end of the year 9999.
 UnixMs = typing.Annotated[int, msgspec.Meta(ge=0, le=253402300799999)]
-Sequence = typing.Annotated[int, msgspec.Meta(ge=0, le=2**53 - 1)]
+# Above the number of any heartbeat.
+LAST_SEQUENCE = 2**53 - 1
+Sequence = typing.Annotated[int, msgspec.Meta(ge=0, le=LAST_SEQUENCE)]
 _find_name = re.compile(_NAME).search
 
 
@@ -54,9 +56,11 @@
         Start of its process in Unix milliseconds; 0 if unknown. Later
         incarnations have higher values.
     sequence : int
-        Number of the heartbeat within its incarnation.
+        Number of the heartbeat within its incarnation; `LAST_SEQUENCE` once
+        the incarnation is known to have ended.
     gone : bool
-        Whether it has terminated or was deregistered.
+        Whether it has terminated, was deregistered or has been silent. A
+        later heartbeat shows that a silent one works.
     """
 
     endpoint: Name
@@ -71,9 +75,9 @@
     gone: bool = False
 
     @property
-    def order(self) -> tuple[int, bool, int]:
+    def order(self) -> tuple[int, int, bool]:
         """Version key; a heartbeat replaces those with lower keys."""
-        return (self.born_ms, self.gone, self.sequence)
+        return (self.born_ms, self.sequence, self.gone)
 
 
 class EndpointEntry(msgspec.Struct):
--- a/chivescale/registry/_registry.py
+++ b/chivescale/registry/_registry.py
@@ -2,7 +2,11 @@
 
 import msgspec
 
-from chivescale.registry._records import EndpointBeat, EndpointEntry
+from chivescale.registry._records import (
+    LAST_SEQUENCE,
+    EndpointBeat,
+    EndpointEntry,
+)
 
 # Silence after which an endpoint counts as gone. It exceeds every pause and
 # partition that an endpoint survives.
@@ -66,7 +70,11 @@
             self.revision += 1
         since = 0.0
         if heartbeat.primary and not heartbeat.gone:
-            still_primary = known is not None and known.heartbeat.primary
+            still_primary = (
+                known is not None
+                and known.heartbeat.primary
+                and not known.heartbeat.gone
+            )
             still_primary = (
                 still_primary and known.heartbeat.born_ms == heartbeat.born_ms
             )
@@ -103,13 +111,17 @@
         ):
             if previous.heartbeat.born_ms > heartbeat.born_ms:
                 return False
-            self._mark_gone(previous, now)
+            self._mark_gone(previous, LAST_SEQUENCE, now)
         self.by_address[heartbeat.address] = heartbeat.endpoint
         return True
 
-    def _mark_gone(self, entry: EndpointEntry, now: float) -> None:
+    def _mark_gone(
+        self, entry: EndpointEntry, sequence: int, now: float
+    ) -> None:
         self.revision += 1
-        entry.heartbeat = msgspec.structs.replace(entry.heartbeat, gone=True)
+        entry.heartbeat = msgspec.structs.replace(
+            entry.heartbeat, gone=True, sequence=sequence
+        )
         entry.received_at = now
         entry.primary_since = 0.0
         entry.revision = self.revision
@@ -136,7 +148,7 @@
             return False
         if born_ms and born_ms < entry.heartbeat.born_ms:
             return False
-        self._mark_gone(entry, now)
+        self._mark_gone(entry, LAST_SEQUENCE, now)
         return True
 
     def expire(self, now: float) -> None:
@@ -144,7 +156,8 @@
         for endpoint, entry in list(self.entries.items()):
             age = now - entry.received_at
             if not entry.heartbeat.gone and age > SILENT_EXPIRY_S:
-                self._mark_gone(entry, now)
+                # Others may hear it, so that later heartbeats still count.
+                self._mark_gone(entry, entry.heartbeat.sequence, now)
             elif entry.heartbeat.gone and age > TOMBSTONE_RETENTION_S:
                 del self.entries[endpoint]
                 self._index_service(entry, None)
--- a/chivescale/registry/tests/registry.feature
+++ b/chivescale/registry/tests/registry.feature
@@ -45,6 +45,33 @@
     When 61 s pass
     Then a is not known
 
+  # Guards against working endpoints that are refused for a minute after one
+  # coordinator was cut off for 30 s, and against its opinion that spreads.
+  Scenario Outline: A silent endpoint whose heartbeats are heard again
+    Given these heartbeats of endpoint a arrived: <first>
+    When 31 s pass
+    And then this one arrives: <then>
+    Then it is <verdict> and a is <state>
+
+    Examples:
+      | first               | then                 | verdict | state          |
+      | born 5 no 1         | born 5 no 31         | stored  | up             |
+      | born 5 no 1 primary | born 5 no 31 primary | stored  | up and primary |
+      | born 5 no 2         | born 5 no 2          | ignored | gone           |
+      | born 5 no 2         | born 5 no 1          | ignored | gone           |
+      | born 5 no 2, leaves | born 5 no 31         | ignored | gone           |
+
+  Scenario Outline: Another coordinator tells that an endpoint is gone
+    Given these heartbeats of endpoint a arrived: <first>
+    When a coordinator with <other> tells after 31 s what it knows
+    Then a is <state>
+
+    Examples:
+      | first        | other               | state |
+      | born 5 no 31 | born 5 no 1         | up    |
+      | born 5 no 1  | born 5 no 31        | gone  |
+      | born 5 no 31 | born 5 no 1, leaves | gone  |
+
   Scenario: Unknown senders occupy a bounded amount of memory
     When 20100 endpoints announce themselves
     Then at most 20000 are known
--- a/chivescale/registry/tests/steps/registry_steps.py
+++ b/chivescale/registry/tests/steps/registry_steps.py
@@ -33,14 +33,26 @@
 @given("these heartbeats of endpoint a arrived: {first}")
 def arrived(context, first):
     context.now = 100.0
-    context.registry = Registry()
+    context.registry = registry_with(first, context.now)
+
+
+def registry_with(first: str, now: float) -> Registry:
+    registry = Registry()
     for part in first.split(", "):
         if part == "leaves":
-            assert context.registry.deregister("a", 0, context.now)
+            assert registry.deregister("a", 0, now)
         else:
-            assert context.registry.record_heartbeat(
-                heartbeat(part), context.now
-            )
+            assert registry.record_heartbeat(heartbeat(part), now)
+    return registry
+
+
+@when("a coordinator with {first} tells after 31 s what it knows")
+def another_tells(context, first):
+    other = registry_with(first, context.now)
+    other.expire(context.now + 31)
+    context.registry.record_heartbeat(
+        other.entries["a"].heartbeat, context.now + 31
+    )
 
 
 @when("then this one arrives: {text}")
@@ -62,6 +74,8 @@
     assert entry.heartbeat.draining == ("draining" in state), entry
     if "no primary" in state:
         assert entry.primary_since == 0.0
+    elif "primary" in state:
+        assert entry.primary_since > 0.0
 
 
 @then("{endpoint:w} is up")
