Tell why a member of the group is not a voter

What operators saw: nothing. A member that never became a voter, because it was far behind, silent or in no group, left no line in the log and no metric, and the status named a learner without the reason; meanwhile the group bore one loss less than they believed.

Change: each host looks every 0.25 s why members have no vote: the leader for all learners (silent, behind by so many entries, caught up), any other for itself (in no group, removed, no leader, learner). After 5 s it writes one line `member_not_voting` with the reason and counts it in `members_not_voting`, and again only after the member has voted. The status of a coordinator has the reasons at once, in `not_voting`; the field has a default, so that older and newer builds read each other's answers.

Evidence: not_voting.feature, 11 scenarios: the moments as a table, the reasons of a simulated leader, and log, counter and status of real hosts.

--- a/chivescale/coordinator/_host.py
+++ b/chivescale/coordinator/_host.py
@@ -273,6 +273,7 @@
             min(self.contact_age_s(), MAX_REPORTED_AGE_S),
             self.state.catalog.version,
             failure.reason if failure is not None else "",
+            self.membership.not_voting.described(),
         )
 
     # Requests of operators and endpoints.
--- a/chivescale/coordinator/_membership.py
+++ b/chivescale/coordinator/_membership.py
@@ -17,9 +17,10 @@
     LeaveAnswer,
     LeaveRequest,
 )
+from chivescale.coordinator._not_voting import NotVoting, reasons_of
 from chivescale.errors import ErrorKind, Failure, is_failure
 from chivescale.messages import Empty
-from chivescale.telemetry import log_event
+from chivescale.telemetry import COUNTERS, log_event
 
 CHECK_INTERVAL_S = 0.25
 CHANGE_TIMEOUT_S = 1.0
@@ -31,6 +32,8 @@
 LEAVE_PAUSE_S = 0.1
 # Interval at which a member that is no voter and hears no leader calls.
 CALL_INTERVAL_S = 0.5
+# A leader sends something each 0.1 s, and an election takes about a second.
+HEARD_WITHIN_S = 1.0
 
 
 class MembershipManager:
@@ -48,6 +51,7 @@
         self.roster_term = 0
         self.reopen_requested = False
         self.leaving = False
+        self.not_voting = NotVoting()
         self.called_at = float("-inf")
 
     def request_reopen(self) -> None:
@@ -69,6 +73,7 @@
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
             agreement = self.host.agreement
+            self._watch_voters(agreement)
             if agreement.failure is not None or self.reopen_requested:
                 await self._reopen_log()
             elif agreement.is_leader:
@@ -78,6 +83,26 @@
             elif self._is_outside():
                 await self._call_members()
 
+    def _watch_voters(self, agreement) -> None:
+        """Tell once about a member that stays without a vote."""
+        if agreement.machine is None:
+            return
+        time = now()
+        hears_leader = self.host.contact_age_s() < HEARD_WITHIN_S
+        reasons = reasons_of(
+            agreement.machine, agreement.is_leader, hears_leader, time
+        )
+        for name in self.not_voting.update(reasons, time):
+            kind, details = reasons[name]
+            COUNTERS.count("members_not_voting", kind)
+            log_event(
+                "member_not_voting",
+                "warning",
+                member=name,
+                reason=kind,
+                details=details,
+            )
+
     # Leaving and returning.
 
     async def leave(self) -> None:
--- a/chivescale/coordinator/_messages.py
+++ b/chivescale/coordinator/_messages.py
@@ -161,6 +161,9 @@
         Version of the configuration in force.
     failure : str
         Why its log is not open; empty if it is.
+    not_voting : dict of str to str
+        Why members are not voters, by address: those that the leader knows,
+        and the asked one itself.
     """
 
     name: str
@@ -171,6 +174,7 @@
     contact_age_s: float
     version: int
     failure: str
+    not_voting: dict[str, str] = {}
 
 
 class DocumentAnswer(msgspec.Struct, frozen=True):
