Keep endpoints whose place an unknown service claims

A heartbeat of a service that the configuration does not name, with the address or the identifier of a working endpoint and a later start, took its place: the endpoint counted as gone or belonged to no service that is routed, its own heartbeats were ignored for up to 60 s, and a primary was replaced.

Such a heartbeat is refused with 400, and passed over if another coordinator sends it. One at a free place is accepted as before, because the configuration of this host may be behind, and so are all while the configuration names no service.

--- a/chivescale/coordinator/_distributor.py
+++ b/chivescale/coordinator/_distributor.py
@@ -223,7 +223,8 @@
         time = now()
         known = (self.host.registry.revision, self.suspects)
         for heartbeat in gossip.beats:
-            self.host.registry.record_heartbeat(heartbeat, time)
+            if not self.host.is_foreign(heartbeat):
+                self.host.registry.record_heartbeat(heartbeat, time)
         self.hosts.merge(gossip.hosts, time)
         if gossip.sender:
             self.zones[gossip.sender] = gossip.zone
--- a/chivescale/coordinator/_host.py
+++ b/chivescale/coordinator/_host.py
@@ -335,6 +335,9 @@
         have to stop sending it new work in time. The answer is therefore
         positive only if another coordinator has the heartbeat as well.
         """
+        if self.is_foreign(heartbeat):
+            reason = f"service: {heartbeat.service} is not configured"
+            return Failure(ErrorKind.BAD_REQUEST, reason)
         revision = self.registry.revision
         stored = self.registry.record_heartbeat(heartbeat, now())
         if not stored:
@@ -345,6 +348,21 @@
             heartbeat, urgent=heartbeat.draining
         )
 
+    def is_foreign(self, heartbeat: EndpointBeat) -> bool:
+        """Return whether it would displace another endpoint wrongly.
+
+        The configuration of this host may be behind, so an endpoint of a
+        service that it does not name is known as long as no other is at its
+        place.
+        """
+        catalog = self.state.catalog.catalog
+        return (
+            self.registry.displaces(heartbeat)
+            and catalog is not None
+            and bool(catalog.services)
+            and all(s.name != heartbeat.service for s in catalog.services)
+        )
+
     async def note_farewell(self, endpoint: str, born_ms: int) -> None:
         """Mark an endpoint as gone and distribute the change."""
         if self.registry.deregister(endpoint, born_ms, now()):
--- a/chivescale/coordinator/tests/odd_entries.feature
+++ b/chivescale/coordinator/tests/odd_entries.feature
@@ -60,3 +60,23 @@
       | 127.0.0.1:port     |
       | nowhere            |
       | ..:80              |
+
+  # Guards against a working primary that counts as gone for a minute because
+  # another writer named its address or its identifier.
+  Scenario Outline: Heartbeats of services that the configuration does not name
+    Given 3 coordinators on loopback
+    And a configuration with service <services>, and e1 of ledger at port 1
+    When a later heartbeat of <endpoint> of <service> at port <port> <arrives>
+    Then it is <verdict>, and e1 is <state>
+
+    Examples:
+      | services | endpoint | service | port | arrives        | verdict  | state |
+      | ledger   | e9       | other   | 1    | arrives        | refused  | known |
+      | ledger   | e1       | other   | 2    | arrives        | refused  | known |
+      | ledger   | e9       | other   | 1    | is passed on   | ignored  | known |
+      | ledger   | e1       | other   | 2    | is passed on   | ignored  | known |
+      | ledger   | e9       | other   | 2    | arrives        | stored   | known |
+      | ledger   | e9       | ledger  | 1    | arrives        | stored   | gone  |
+      | ledger   | e9       | ledger  | 1    | is passed on   | stored   | gone  |
+      | other    | e9       | other   | 1    | arrives        | stored   | gone  |
+      | nothing  | e9       | other   | 1    | arrives        | stored   | gone  |
--- a/chivescale/coordinator/tests/steps/odd_entry_steps.py
+++ b/chivescale/coordinator/tests/steps/odd_entry_steps.py
@@ -9,10 +9,13 @@
 import types
 
 import msgspec
-from behave import then, when
+from behave import given, then, when
+from disk_steps import run
 from recall_steps import heartbeat
 from unreadable_steps import Lines
 
+from chivescale.catalog import Catalog, ServiceOptions
+from chivescale.clock import now
 from chivescale.coordinator import CoordinatorSettings
 from chivescale.coordinator._distributor import Distributor
 from chivescale.coordinator._messages import Gossip
@@ -64,7 +67,11 @@
 
 
 def distributor() -> Distributor:
-    host = types.SimpleNamespace(settings=SETTINGS, registry=Registry())
+    host = types.SimpleNamespace(
+        settings=SETTINGS,
+        registry=Registry(),
+        is_foreign=lambda heartbeat: False,
+    )
     return Distributor(host)
 
 
@@ -185,3 +192,37 @@
     """Dialect of an endpoint that is never reached."""
 
     max_message_bytes = 1000
+
+
+@given("a configuration with service {name}, and e1 of ledger at port 1")
+def named_services(context, name):
+    services = () if name == "nothing" else (ServiceOptions(name, 5),)
+    context.host = context.group[0].host
+    context.host.state.catalog.catalog = Catalog(1, (), services)
+    context.host.registry.record_heartbeat(heartbeat("e1", 1), now())
+
+
+@when("a later heartbeat of {name} of {service} at port {port:d} {arrives}")
+def later_heartbeat(context, name, service, port, arrives):
+    beat = heartbeat(name, port, service=service, born_ms=2000)
+
+    async def work():
+        context.failure = None
+        if arrives == "arrives":
+            context.failure = await context.host.note_beat(beat)
+        else:
+            context.host.distributor.merge_gossip(Gossip(beats=(beat,)))
+
+    run(context, work())
+    entry = context.host.registry.entries.get(name)
+    context.stored = entry is not None and entry.heartbeat == beat
+
+
+@then("it is {verdict}, and e1 is {state}")
+def judged(context, verdict, state):
+    assert context.stored == (verdict == "stored"), context.failure
+    assert is_failure(context.failure) == (verdict == "refused")
+    if verdict == "refused":
+        assert context.failure.kind is ErrorKind.BAD_REQUEST
+    e1 = context.host.registry.entries["e1"].heartbeat
+    assert e1.gone == (state == "gone") and e1.service == "ledger", e1
--- a/chivescale/registry/_registry.py
+++ b/chivescale/registry/_registry.py
@@ -107,6 +107,22 @@
         self.by_address[heartbeat.address] = heartbeat.endpoint
         return True
 
+    def displaces(self, heartbeat: EndpointBeat) -> bool:
+        """Return whether a heartbeat takes the place of another endpoint.
+
+        That is one at the same address, or one of another service under the
+        same identifier.
+        """
+        known = self.entries.get(heartbeat.endpoint)
+        holder = self.entries.get(self.by_address.get(heartbeat.address, ""))
+        return any(
+            entry is not None
+            and not entry.heartbeat.gone
+            and (entry.heartbeat.endpoint, entry.heartbeat.service)
+            != (heartbeat.endpoint, heartbeat.service)
+            for entry in (known, holder)
+        )
+
     def _mark_gone(self, entry: EndpointEntry, now: float) -> None:
         self.revision += 1
         entry.heartbeat = msgspec.structs.replace(entry.heartbeat, gone=True)
