Start replication to a member with small batches

On links below 400 KB/s, or while large batches fail, no order is accepted as long as the quorum needs a member that is far behind.

Cause: the first batch had 256 KiB in each leadership. While it fails, it takes the place of heartbeats, so that the leader loses its quorum before the batch has been halved far enough; the next leader starts over.

Change: a leader begins with 4 KiB to each member and doubles it with each batch that arrives.

The row with 100 KB/s still fails and is marked as known red: an entry of 27 KB takes 0.27 s.

--- a/chivescale/agreement/_replication.py
+++ b/chivescale/agreement/_replication.py
@@ -49,9 +49,9 @@
     matched : bool
         Whether the logs are known to match up to `match`.
     batch_bytes : int
-        Limit of the next batch. It is halved when a batch fails, so that a
-        slow link or a receiver with a lower limit does not stop replication,
-        and doubled when one arrives.
+        Limit of the next batch. It is low at first and halved when a batch
+        fails, so that a slow link or a receiver with a lower limit does not
+        stop replication, and doubled when one arrives.
     inflight_last_index : int
         Index of the last entry in the batch in flight.
     inflight_until, snapshot_inflight_until : float
@@ -69,7 +69,7 @@
     contact: float
     match: int = 0
     matched: bool = False
-    batch_bytes: int = MAX_BATCH_BYTES
+    batch_bytes: int = MIN_BATCH_BYTES
     inflight_last_index: int = 0
     inflight_until: float = 0.0
     snapshot_inflight_until: float = 0.0
--- a/chivescale/agreement/tests/agreement.feature
+++ b/chivescale/agreement/tests/agreement.feature
@@ -159,6 +159,24 @@
     And every member is started
     Then all members agree and no command is lost
 
+  # Guards against batches that displace heartbeats, so that a leader that
+  # needs the member loses its quorum again and again.
+  Scenario Outline: A member far behind a slow link that the quorum needs
+    Given a group of three with one member 35 commands of 20000 bytes behind
+    When another member crashes and links carry <speed> bytes/s
+    Then the member behind has all entries within 20 s
+
+    Examples:
+      | speed   |
+      | 1000000 |
+      | 300000  |
+      | 200000  |
+
+    @known_red
+    Examples: heartbeats wait behind each entry
+      | speed   |
+      | 100000  |
+
   # Guards against a host that stays outside the group for good, as it waits
   # for a leader that does not know it.
   Scenario: A learner whose admission was lost with its leader asks again
--- a/chivescale/agreement/tests/steps/agreement_steps.py
+++ b/chivescale/agreement/tests/steps/agreement_steps.py
@@ -14,6 +14,7 @@
     run_actions,
     run_random,
 )
+from chivescale.agreement.tests.slow_links import SlowWorld
 
 SEED = 7
 
@@ -150,6 +151,37 @@
     assert recent == (expected == "recent"), age_s
 
 
+@given("a group of three with one member 35 commands of 20000 bytes behind")
+def one_behind(context):
+    context.world = world = SlowWorld(SEED, NAMES[:3])
+    assert world.run(2.0, world.leader)
+    world.run(0.2)
+    leader = world.leader().name
+    context.behind, context.other = (n for n in NAMES[:3] if n != leader)
+    world.crash(context.behind)
+    world.propose(count=35, size=20000)
+    assert world.run(1.0, lambda: len(world.acknowledged) == 35)
+
+
+@when("another member crashes and links carry {speed:d} bytes/s")
+def slow_links(context, speed):
+    context.world.crash(context.other)
+    context.world.bytes_per_s = speed
+    context.world.start(context.behind)
+
+
+@then("the member behind has all entries within {seconds:d} s")
+def has_all(context, seconds):
+    world = context.world
+    machine = world.hosts[context.behind].machine
+    last = max(world.acknowledged.values())
+    terms = sorted(world.leaders)
+    assert world.run(seconds, lambda: machine.applied >= last), (
+        f"log up to {machine.log.last_index} of {last}, leaders of terms"
+        f" {terms[0]} to {max(world.leaders)}"
+    )
+
+
 @when("a command is acknowledged by the leader")
 def command_acknowledged(context):
     world = context.world
