--- a/chivescale/agreement/tests/explorer.feature
+++ b/chivescale/agreement/tests/explorer.feature
@@ -47,6 +47,13 @@
       | 6    | 299  | ready planned follower, soon halves all |
       | 8    | 1    | calm join_halves leader                 |
 
+    # Three members that are gone remain among nine voters, because none of an
+    # odd number is removed.
+    @known_red
+    Examples: several replacements, known to fail
+      | size | seed  | order                                                                                                           |
+      | 6    | 30058 | calm unplanned follower, calm planned follower, soon planned follower, calm wipe follower, soon wipe follower |
+
   Scenario Outline: Every order of one event
     Then every order of 1 event of <size> hosts is survived
 
