Show that a voter which left during a split is retired too late

A group of three loses its quorum for good if a machine is replaced as planned while the group is split, and one disk is lost 4.05 s after the end of the split.

The split ends after 29.8 s; c2 leads from 31.6 s on, with the voters c0 (gone), c1, c2 and c3. It would remove c0 only at 35.2 s, 3 s after it began to watch, since c3 was not seen to become a voter in its term. The disk of c3 is lost at 33.9 s, so two of four voters remain:

3 hosts, calm many all, ready join_halves follower, ready wipe follower after 20 s of calm: no member leads

The rows are tagged @known_red.

--- a/chivescale/agreement/tests/explorer.feature
+++ b/chivescale/agreement/tests/explorer.feature
@@ -51,6 +51,14 @@
       | 6    | 299  | ready planned follower, soon halves all |
       | 8    | 1    | calm join_halves leader                 |
 
+    # A leader elected after the split retires the voter that left during it
+    # 3 s after its election, later than the successor has caught up.
+    @known_red
+    Examples: a disk lost after a replacement in a split, known to fail
+      | size | seed  | order                                                          |
+      | 3    | 40036 | calm many all, ready join_halves follower, ready wipe follower |
+      | 3    | 2     | calm many all, ready join_halves follower, ready wipe leader   |
+
   Scenario Outline: Every order of one event
     Then every order of 1 event of <size> hosts is survived
 
