--- a/chivescale/agreement/tests/explorer.feature
+++ b/chivescale/agreement/tests/explorer.feature
@@ -54,6 +54,14 @@
       | size | seed  | order                                                                                                           |
       | 6    | 30058 | calm unplanned follower, calm planned follower, soon planned follower, calm wipe follower, soon wipe follower |
 
+    # A leader elected after the split retires the voter that left during it
+    # 3 s after its election, later than the successor has caught up.
+    @known_red
+    Examples: a disk lost after a replacement in a split, known to fail
+      | size | seed  | order                                                          |
+      | 3    | 40036 | calm many all, ready join_halves follower, ready wipe follower |
+      | 3    | 2     | calm many all, ready join_halves follower, ready wipe leader   |
+
   Scenario Outline: Every order of one event
     Then every order of 1 event of <size> hosts is survived
 
