Wait until every member knows the number of voters

The log shows the change on the leader and not yet on the others. The step now waits until every running member has the number, within the same time.

--- a/chivescale/coordinator/tests/steps/leaving_steps.py
+++ b/chivescale/coordinator/tests/steps/leaving_steps.py
@@ -173,18 +173,22 @@
     run(
         context,
         wait_for(
-            lambda: len(voters(context)) == count,
+            lambda: voter_counts(context) == {count},
             seconds,
             lambda: states(context),
         ),
     )
 
 
+def voter_counts(context) -> set[int]:
+    """Return the numbers of voters that the running members know of."""
+    return {len(m.host.group_status().voters) for m in alive(context)}
+
+
 @then("the group has {count:d} voters")
 def has_voters(context, count):
     # A former leader that has left needs no successor for this.
-    found = {len(m.host.group_status().voters) for m in alive(context)}
-    assert found == {count}, states(context)
+    assert voter_counts(context) == {count}, states(context)
 
 
 @then("the successor is a voter in its place")
