--- a/chivescale/coordinator/tests/steps/disk_steps.py
+++ b/chivescale/coordinator/tests/steps/disk_steps.py
@@ -114,23 +114,13 @@
     start(context, count)
 
 
-def start(context, count: int) -> None:
+def create_group(context, count: int) -> None:
+    """Create coordinators that are stopped at the end of the scenario."""
     context.loop = asyncio.new_event_loop()
     folder = tempfile.TemporaryDirectory()
     context.folder = folder.name
     seeds = tuple(free_address() for _ in range(count))
     context.group = [Coordinator(s, seeds, folder.name) for s in seeds]
-    context.version = 0
-    context.accepted_while_full = 0
-
-    async def begin():
-        for member in context.group:
-            await member.start()
-        async with asyncio.timeout(START_S):
-            while not all(votes(m, count) for m in context.group):
-                await asyncio.sleep(0.05)
-            while is_failure(await store(context, context.group[0])):
-                await asyncio.sleep(0.05)
 
     async def end():
         for member in context.group:
@@ -146,6 +136,22 @@
         folder.cleanup()
 
     context.add_cleanup(clean_up)
+
+
+def start(context, count: int) -> None:
+    create_group(context, count)
+    context.version = 0
+    context.accepted_while_full = 0
+
+    async def begin():
+        for member in context.group:
+            await member.start()
+        async with asyncio.timeout(START_S):
+            while not all(votes(m, count) for m in context.group):
+                await asyncio.sleep(0.05)
+            while is_failure(await store(context, context.group[0])):
+                await asyncio.sleep(0.05)
+
     run(context, begin())
 
 
--- a/chivescale/coordinator/tests/steps/forming_steps.py
+++ b/chivescale/coordinator/tests/steps/forming_steps.py
@@ -3,10 +3,9 @@
 import asyncio
 import pathlib
 import shutil
-import tempfile
 
 from behave import given, then, when
-from disk_steps import Coordinator, free_address, run
+from disk_steps import Coordinator, create_group, free_address, run
 
 from chivescale.clock import now
 
@@ -16,30 +15,13 @@
 
 @given("3 coordinators that start for the first time, one of them late")
 def first_start(context):
-    context.loop = asyncio.new_event_loop()
-    folder = tempfile.TemporaryDirectory()
-    seeds = tuple(free_address() for _ in range(3))
-    context.group = [Coordinator(s, seeds, folder.name) for s in seeds]
+    create_group(context, 3)
 
     async def begin():
         for member in context.group[:2]:
             await member.start()
         await asyncio.sleep(ALONE_S)
 
-    async def end():
-        for member in context.group:
-            await member.stop()
-        tasks = asyncio.all_tasks() - {asyncio.current_task()}
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-
-    def clean_up():
-        run(context, end())
-        context.loop.close()
-        folder.cleanup()
-
-    context.add_cleanup(clean_up)
     run(context, begin())
 
 
