Remove two silent voters of an odd number

Cause: of an odd number of voters none was ever removed, so three that were gone for good stayed among nine. Six alive bear one loss beside a quorum of five, not two. The parity alone does not tell this apart from a single silent voter, which may come back.

Change: two silent voters of an odd number are removed, one after the other, if enough remain to bear the losses that the group has to, also if the two are only cut off. The number of losses comes from the settings. Removing the first of two silent voters costs nothing: 2k + 1 voters with d lost ones and 2k with d - 1 bear the same.

--- a/chivescale/agreement/__init__.py
+++ b/chivescale/agreement/__init__.py
@@ -52,6 +52,7 @@
 from chivescale.agreement._pending import Outcome
 from chivescale.agreement._replication import in_contact
 from chivescale.agreement._roster import (
+    DEFAULT_LOSSES,
     Admit,
     Retire,
     Roster,
@@ -61,6 +62,7 @@
 
 __all__ = [
     "COMMAND",
+    "DEFAULT_LOSSES",
     "Admit",
     "Agreement",
     "AgreementHost",
--- a/chivescale/agreement/_roster.py
+++ b/chivescale/agreement/_roster.py
@@ -4,8 +4,10 @@
 intended number. It relies on the parity instead: an even number of voters
 bears the loss of as many disks as the odd number below it, with a larger
 quorum. Removing one of 2k voters keeps what the group bears and lowers the
-quorum; removing one of 2k + 1 would cost the group one loss, so that is never
-done.
+quorum. Removing one of 2k + 1 would cost the group one loss, so that is done
+only if a second one is silent as well, and only while the group bears the
+losses that it has to without these two: they may be cut off and hold the only
+other copies.
 """
 
 import msgspec
@@ -22,6 +24,8 @@
 RETIRE_LEARNER_AFTER_S = 20.0
 # Without a voter fewer, the group would bear no loss.
 MIN_VOTERS_TO_RETIRE = 4
+# Losses that a group bears if nothing else is asked of it.
+DEFAULT_LOSSES = 1
 # A member that stops repeats its request more often than this. If it is
 # reachable later, it has started again.
 LEAVE_REPEATED_WITHIN_S = 1.0
@@ -64,6 +68,11 @@
 class Roster:
     """Plans single membership changes during one leadership.
 
+    Parameters
+    ----------
+    losses : int
+        Number of members that the group has to bear the loss of at a time.
+
     Attributes
     ----------
     unreachable_since : dict of str to float
@@ -74,7 +83,8 @@
         Unreachable voters since whose loss a new name has become a voter.
     """
 
-    def __init__(self):
+    def __init__(self, losses: int = DEFAULT_LOSSES):
+        self.losses = losses
         self.unreachable_since: dict[str, float] = {}
         self.leaving: dict[str, float] = {}
         self.replaced: set[str] = set()
@@ -137,9 +147,15 @@
         # A learner that is about to become a voter changes the parity.
         if not silent or learners & reachable:
             return None
-        return (
-            Retire(min(silent)[1]) if can_lose_voter(configuration) else None
-        )
+        if can_lose_voter(configuration) or (
+            len(silent) > 1 and self._can_lose_two_voters(configuration)
+        ):
+            return Retire(min(silent)[1])
+        return None
+
+    def _can_lose_two_voters(self, configuration: Configuration) -> bool:
+        """Return whether enough voters remain to bear the losses."""
+        return len(configuration.voters) - 2 >= 2 * self.losses + 1
 
     def _timeout_s(self, name: str, learners: set[str]) -> float:
         if name in learners:
--- a/chivescale/coordinator/_host.py
+++ b/chivescale/coordinator/_host.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from chivescale.agreement import (
+    DEFAULT_LOSSES,
     AgreementHost,
     AgreementMessage,
     Callbacks,
@@ -96,6 +97,8 @@
     endpoints_fenced : bool
         Whether an endpoint refuses writes as soon as another one was promoted
         in its place. If not, entry hosts use a primary only under a lease.
+    losses : int
+        Number of coordinators that may be lost at a time, with their disks.
     """
 
     name: str
@@ -105,6 +108,7 @@
     data_dir: str
     may_form: bool
     endpoints_fenced: bool = True
+    losses: int = DEFAULT_LOSSES
 
 
 class CoordinatorHost:
--- a/chivescale/coordinator/_membership.py
+++ b/chivescale/coordinator/_membership.py
@@ -47,7 +47,7 @@
 
     def __init__(self, host):
         self.host = host
-        self.roster = Roster()
+        self.roster = Roster(host.settings.losses)
         self.roster_term = 0
         self.reopen_requested = False
         self.leaving = False
@@ -200,7 +200,8 @@
 
     def _use_term(self, machine) -> None:
         if machine.term != self.roster_term:
-            self.roster, self.roster_term = Roster(), machine.term
+            self.roster = Roster(self.host.settings.losses)
+            self.roster_term = machine.term
 
     def _reachable(self, machine) -> set[str]:
         time = now()
--- a/chivescale/coordinator/tests/leaving.feature
+++ b/chivescale/coordinator/tests/leaving.feature
@@ -95,6 +95,17 @@
     When the successor starts again and catches up
     Then the group has 4 voters within 5 s
 
+  # Guards against two lost voters that stay among an odd number of voters.
+  Scenario: Two of five voters are lost for good
+    Given 4 coordinators on loopback
+    When a successor joins as a voter
+    And a follower is killed
+    And another follower is killed
+    Then the group has 3 voters within 6 s
+    When another voter loses its disk and starts again
+    Then a configuration is accepted within 3 s
+    And the group has 3 voters within 5 s
+
   Scenario: A silent voter that the group can do without
     Given 4 coordinators on loopback
     When a follower is killed
--- a/chivescale/coordinator/tests/steps/leaving_steps.py
+++ b/chivescale/coordinator/tests/steps/leaving_steps.py
@@ -357,6 +357,7 @@
 
 
 @when("a follower is killed")
+@when("another follower is killed")
 def follower_killed(context):
     context.killed = choose(context, "a follower")
     run(context, kill(context, context.killed))
