Let a candidate with a newer log pass one with an older log

Cause: between two members that stand for election, the lower name held up the other for a heartbeat after each of its attempts, also if its log was older, so that it could not win itself.

Ruled out: the pause of a leader that steps down, none of which took place.

Change: only between equal logs does the lower name take precedence.

Result: agreement.feature "A leader is elected in time beside a candidate with an older log" fails without the change and passes with it; the bound is that of the election after a crash, 400 ms.

--- a/chivescale/agreement/_election.py
+++ b/chivescale/agreement/_election.py
@@ -190,8 +190,12 @@
 
 
 def _log_is_up_to_date(machine, request: VoteRequest) -> bool:
-    candidate_log = (request.last_term, request.last_index)
-    return candidate_log >= (machine.log.last_term, machine.log.last_index)
+    return _log_end(request) >= _log_end(machine.log)
+
+
+def _log_end(log) -> tuple[int, int]:
+    """Return the end of a log by which candidates are compared."""
+    return (log.last_term, log.last_index)
 
 
 def _formation_allowed(machine, request: VoteRequest) -> bool:
@@ -218,21 +222,24 @@
     machine.election.pre_vote_granted_until = now + machine.timing.heartbeat_s
 
 
-def _pre_vote_held_by_other(machine, candidate: str, now: float) -> bool:
+def _pre_vote_held_by_other(machine, request: VoteRequest, now: float) -> bool:
     """Return whether another candidate holds a recent pre-vote.
 
     This avoids split votes between candidates that start within a few
     milliseconds of each other. Between two pre-candidates, the one with the
-    lower name takes precedence.
+    newer log takes precedence, since it alone can win the vote of the other;
+    the one with the lower name if the logs are equal.
     """
     election = machine.election
+    candidate = request.header.sender
     if (
         now >= election.pre_vote_granted_until
         or election.pre_vote_granted_to == candidate
     ):
         return False
     if machine.role is Role.PRE_CANDIDATE:
-        return machine.name < candidate
+        same_log = _log_end(request) == _log_end(machine.log)
+        return same_log and machine.name < candidate
     return True
 
 
@@ -242,7 +249,7 @@
         and not has_leader_contact(machine, now)
         and _formation_allowed(machine, request)
         and _log_is_up_to_date(machine, request)
-        and not _pre_vote_held_by_other(machine, request.header.sender, now)
+        and not _pre_vote_held_by_other(machine, request, now)
     )
 
 
--- a/chivescale/agreement/tests/agreement.feature
+++ b/chivescale/agreement/tests/agreement.feature
@@ -286,3 +286,8 @@
 
   Scenario: The next leader is elected in time
     Then for 200 seeds a crashed leader is replaced within 400 ms
+
+  # Guards against a candidate that cannot win, as its log is older, and holds
+  # up the one that can for seconds.
+  Scenario: A leader is elected in time beside a candidate with an older log
+    Then for 200 seeds c1 leads within 400 ms beside c0 that lacks an entry
--- a/chivescale/agreement/tests/steps/agreement_steps.py
+++ b/chivescale/agreement/tests/steps/agreement_steps.py
@@ -605,3 +605,22 @@
     world.run(ms / 1000)
     applied = [host.machine.applied for host in world.hosts.values()]
     assert applied == [world.leader().machine.log.last_index] * len(NAMES)
+
+
+@then(
+    "for {count:d} seeds c1 leads within {ms:d} ms beside c0 that lacks an"
+    " entry"
+)
+def elected_beside_older_log(context, count, ms):
+    for seed in range(count):
+        world = World(seed, ("c0", "c1", "c2"))
+        world.run(2.0, world.leader)
+        world.isolate("c0")
+        world.run(2.0)
+        world.propose()
+        world.run(0.5)
+        world.crash("c2")
+        world.run(2.0)
+        world.blocked_links.clear()
+        assert world.run(ms / 1000, world.leader), seed
+        assert world.leader().name == "c1", seed
