Let a voter that nobody answers ask the seeds for admission

Callers saw: a coordinator that was down while every other one was replaced stayed outside the group for good after its return: one machine fewer for the next loss, and every read of the configuration at it got an error.

Cause: a member without a vote asks its known members and the seeds for admission, a voter only the voters that it knows, by its elections. If all of these are gone, nobody ever tells it that it was removed.

Change: a voter without contact for 2 s calls the known members and the seeds as well; a member of the group is not affected by such a call. The calls run in the background, so that they do not hold up the check of the members.

--- a/chivescale/coordinator/_membership.py
+++ b/chivescale/coordinator/_membership.py
@@ -34,6 +34,9 @@
 CALL_INTERVAL_S = 0.5
 # A leader sends something each 0.1 s, and an election takes about a second.
 HEARD_WITHIN_S = 1.0
+# A voter calls after this time. Its elections ask only the voters that it
+# knows; while it was down, all of them may have been replaced.
+VOTER_CALL_AFTER_S = 2.0
 
 
 class MembershipManager:
@@ -53,6 +56,7 @@
         self.leaving = False
         self.not_voting = NotVoting()
         self.called_at = float("-inf")
+        self.heard_at = now()
 
     def request_reopen(self) -> None:
         """Reopen the log with the current seeds at the next check."""
@@ -73,6 +77,8 @@
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
             agreement = self.host.agreement
+            if self.host.contact_age_s() < HEARD_WITHIN_S:
+                self.heard_at = now()
             self._watch_voters(agreement)
             if agreement.failure is not None or self.reopen_requested:
                 await self._reopen_log()
@@ -81,7 +87,7 @@
             elif agreement.machine.seen and agreement.leader_address:
                 await self._forward_join_requests()
             elif self._is_outside():
-                await self._call_members()
+                self.host.run_in_background(self._call_members())
 
     def _watch_voters(self, agreement) -> None:
         """Tell once about a member that stays without a vote."""
@@ -165,21 +171,23 @@
         return awaits_removal(name, machine.configuration, machine.seen)
 
     def _is_outside(self) -> bool:
-        """Return whether this member of a group is no voter and alone."""
+        """Return whether this member of a group should call the others."""
         machine = self.host.agreement.machine
         if self.leaving or not machine.formed:
             return False
+        time = now()
+        if time - self.called_at < CALL_INTERVAL_S:
+            return False
         own = machine.own_member
         if own is not None and own.voter:
-            # The election timer of a voter calls the others.
-            return False
-        time = now()
-        return min(self.host.contact_age_s(), time - self.called_at) >= (
-            CALL_INTERVAL_S
-        )
+            return time - self.heard_at >= VOTER_CALL_AFTER_S
+        return self.host.contact_age_s() >= CALL_INTERVAL_S
 
     async def _call_members(self) -> None:
-        """Ask to be admitted; a member that was removed has no vote to ask."""
+        """Ask the known members and the seeds for admission.
+
+        A member that still belongs to the group is not affected.
+        """
         self.called_at = now()
         host, machine = self.host, self.host.agreement.machine
         own = Member(
--- a/chivescale/coordinator/tests/leaving.feature
+++ b/chivescale/coordinator/tests/leaving.feature
@@ -95,6 +95,18 @@
     When the successor starts again and catches up
     Then the group has 4 voters within 5 s
 
+  # Guards against a host that asks only the members that it knew for admission
+  # and is never a voter again.
+  Scenario: A host returns after all others were replaced
+    Given 3 coordinators on loopback
+    When a follower is killed
+    And a successor takes its place
+    And the others are replaced one after the other
+    And the killed host starts again with the present seeds
+    Then the group has 4 voters within 5 s
+    And a configuration is accepted within 3 s
+    And every host holds the newest configuration within 3 s
+
   # Guards against two lost voters that stay among an odd number of voters.
   Scenario: Two of five voters are lost for good
     Given 4 coordinators on loopback
--- a/chivescale/coordinator/tests/steps/leaving_steps.py
+++ b/chivescale/coordinator/tests/steps/leaving_steps.py
@@ -4,6 +4,7 @@
 import pathlib
 import shutil
 
+import msgspec
 from behave import given, then, when
 from disk_steps import Coordinator, free_address, run, store, votes
 
@@ -366,3 +367,47 @@
 @when("the killed host starts again")
 def killed_starts(context):
     run(context, start(context, context.killed))
+
+
+@when("a successor takes its place")
+def takes_place(context):
+    async def work():
+        await add_successor(context).start()
+        await wait_for(
+            lambda: (
+                context.successor.address in voters(context)
+                and context.killed.address not in voters(context)
+            ),
+            6.0,
+            lambda: states(context),
+        )
+
+    run(context, work())
+
+
+@when("the others are replaced one after the other")
+def others_replaced(context):
+    async def work():
+        for member in alive(context)[:-1]:
+            successor = add_successor(context)
+            await successor.start()
+            await wait_for(
+                lambda s=successor: s.host.group_status().voting,
+                5.0,
+                lambda: states(context),
+            )
+            await stop(context, member)
+
+    run(context, work())
+    known = {context.killed.address} | {m.address for m in gone(context)}
+    assert not known & set(voters(context)), states(context)
+
+
+@when("the killed host starts again with the present seeds")
+def killed_starts_with_seeds(context):
+    seeds = tuple(member.address for member in alive(context))
+    killed = context.killed
+    killed.host.settings = msgspec.structs.replace(
+        killed.host.settings, seeds=seeds
+    )
+    run(context, start(context, killed))
