Send what coordinators recall after a restart in parts

Cause: all heartbeats and all contacts of entry hosts went into one message, four times a second, unchanged after a refusal. The receiver refuses messages above 1 MiB, about 7,000 endpoints, and the registry takes 20,000.

Change: parts of 64 KiB, counted as encoded.

Evidence and result: recall.feature "More endpoints than fit into one message, and a file is lost" (9,003 endpoints, real connections) fails with one message for all (one coordinator knows none) and passes with parts.

--- a/chivescale/coordinator/_distributor.py
+++ b/chivescale/coordinator/_distributor.py
@@ -1,6 +1,7 @@
 """Distributes state to entry hosts and between coordinators."""
 
 import asyncio
+import itertools
 import pathlib
 
 from chivescale.clock import now
@@ -13,6 +14,7 @@
     EndpointUpdate,
     WatchAnswer,
     WatchRequest,
+    split_by_size,
 )
 from chivescale.registry import EndpointBeat, EndpointEntry
 from chivescale.telemetry import log_event
@@ -29,6 +31,9 @@
 GOSSIP_INTERVAL_S = 1.0
 # A coordinator that does not answer within this time counts as unreachable.
 GOSSIP_TIMEOUT_S = 0.4
+# Heartbeats or contacts in one message, counted as encoded: far below the
+# limit of the receiver, so that a slow link carries it within the time-out.
+MAX_GOSSIP_BYTES = 64 << 10
 # After its start, a coordinator tells the others what it has read from its
 # file, in case that their files are lost.
 RECALL_SHARE_S = 3.0
@@ -218,6 +223,28 @@
         task.add_done_callback(self.tasks.discard)
         return task
 
+    def _gossip_parts(self, time: float, recalling: bool) -> list[Gossip]:
+        """Return what the other coordinators should know, in messages."""
+        beats = []
+        if recalling:
+            entries = self.host.registry.entries.values()
+            beats = [entry.heartbeat for entry in entries]
+        parts = itertools.zip_longest(
+            split_by_size(beats, MAX_GOSSIP_BYTES),
+            split_by_size(self.hosts.to_gossip(time), MAX_GOSSIP_BYTES),
+            fillvalue=(),
+        )
+        return [
+            Gossip(
+                sender=self.host.settings.address,
+                zone=self.host.settings.zone,
+                beats=beats,
+                hosts=hosts,
+                suspects=self.suspects if self.host.leading else None,
+            )
+            for beats, hosts in list(parts) or [((), ())]
+        ]
+
     def merge_gossip(self, gossip: Gossip) -> None:
         """Apply the state that another coordinator sent."""
         time = now()
@@ -274,20 +301,10 @@
             self.host.registry.expire(time)
             self.hosts.expire(time)
             recalling = time - self.started_at < RECALL_SHARE_S
-            entries = self.host.registry.entries.values()
-            gossip = Gossip(
-                sender=self.host.settings.address,
-                zone=self.host.settings.zone,
-                beats=(
-                    tuple(entry.heartbeat for entry in entries)
-                    if recalling
-                    else ()
-                ),
-                hosts=self.hosts.to_gossip(time),
-                suspects=self.suspects if self.host.leading else None,
-            )
+            parts = self._gossip_parts(time, recalling)
             for address in self.peer_addresses():
-                self._send_gossip(address, gossip)
+                for gossip in parts:
+                    self._send_gossip(address, gossip)
             self._save(time)
             await asyncio.sleep(
                 RECALL_INTERVAL_S if recalling else GOSSIP_INTERVAL_S
--- a/chivescale/coordinator/tests/recall.feature
+++ b/chivescale/coordinator/tests/recall.feature
@@ -39,6 +39,13 @@
       | truncated |
       | empty     |
 
+  # Guards against a message with all endpoints that exceeds the limit of its
+  # receiver and is repeated unchanged.
+  Scenario: More endpoints than fit into one message, and a file is lost
+    Given 9000 further endpoints are known
+    When all coordinators end without warning, the file of one is removed, and they start again
+    Then each coordinator knows 9003 endpoints within 3 s
+
   Scenario: Recalled endpoints and hosts expire when nothing is heard of them
     When all coordinators end without warning and start again
     And 31 s pass for them
--- a/chivescale/coordinator/tests/steps/recall_steps.py
+++ b/chivescale/coordinator/tests/steps/recall_steps.py
@@ -4,6 +4,7 @@
 import pathlib
 import re
 
+import msgspec
 from behave import given, then, when
 from disk_steps import Coordinator, run
 
@@ -324,3 +325,28 @@
     assert len(context.parts) == polls, context.parts
     for count, duration_s in context.parts:
         assert count <= size and duration_s < POLL_CHECK_S, context.parts
+
+
+@given("{count:d} further endpoints are known")
+def further_endpoints(context, count):
+    async def work():
+        for member in context.group:
+            for number in range(count):
+                beat = heartbeat(f"f{number}", number, primary=False)
+                octets = divmod(number, 250)
+                address = f"10.0.{octets[0]}.{octets[1]}:80"
+                beat = msgspec.structs.replace(beat, address=address)
+                member.host.registry.record_heartbeat(beat, now())
+        await saved(context)
+
+    run(context, work())
+
+
+@then("each coordinator knows {count:d} endpoints within {seconds:d} s")
+def knows_within(context, count, seconds):
+    async def work():
+        await asyncio.sleep(seconds)
+
+    run(context, work())
+    counts = [len(m.host.registry.entries) for m in context.group]
+    assert counts == [count] * len(context.group), counts
--- a/chivescale/messages/__init__.py
+++ b/chivescale/messages/__init__.py
@@ -27,7 +27,12 @@
     WatchReply,
     WorkspaceRecord,
 )
-from chivescale.messages._codec import Elements, decode, encode
+from chivescale.messages._codec import (
+    Elements,
+    decode,
+    encode,
+    split_by_size,
+)
 from chivescale.messages._endpoint import (
     Accepted,
     EndpointStatus,
@@ -109,4 +114,5 @@
     "decode",
     "decode_untrusted",
     "encode",
+    "split_by_size",
 ]
--- a/chivescale/messages/_codec.py
+++ b/chivescale/messages/_codec.py
@@ -1,5 +1,6 @@
 """JSON encoding and decoding of messages with validation."""
 
+import collections.abc
 import functools
 import typing
 
@@ -23,6 +24,35 @@
     return _encoder.encode(message)
 
 
+def split_by_size(
+    items: collections.abc.Iterable[T], max_bytes: int
+) -> list[tuple[T, ...]]:
+    """Split items into parts that fit into messages.
+
+    Parameters
+    ----------
+    items : iterable
+        Elements of a list; none is larger than a part on its own.
+    max_bytes : int
+        Encoded size of the elements of one part.
+
+    Returns
+    -------
+    list of tuple
+        Parts in order; empty if there are no items.
+    """
+    parts: list[list[T]] = []
+    left = 0
+    for item in items:
+        size = len(encode(item)) + 1
+        if not parts or size > left:
+            parts.append([])
+            left = max_bytes
+        parts[-1].append(item)
+        left -= size
+    return [tuple(part) for part in parts]
+
+
 def decode(body: bytes, message_type: type[T]) -> T | Failure:
     """Decode and validate a message.
 
