Let an answer arrive over a slow link as long as it goes on

Cause: the time-out of a call, 1.1 s for a poll, counted the whole answer. The host then asked the next coordinator for the same answer, from its beginning, for good. A document of 1 MiB is accepted from the operator; what it becomes compressed is not limited further.

Change: a call may allow time for the transfer, used only while bytes of the answer go on arriving (0.4 s between two of them). Polls of entry hosts do.

Evidence and result: httpio.feature "An answer that goes on arriving after the time-out", five rows: with 0 s for the transfer, the former behaviour, 120 KB at 100 KB/s end as a time-out; with 5 s they succeed in 1 to 2.5 s; a link that stalls still ends the call within the limit.

--- a/chivescale/httpio/_client.py
+++ b/chivescale/httpio/_client.py
@@ -1,6 +1,7 @@
 """Client side of HTTP."""
 
 import asyncio
+import collections.abc
 import typing
 
 import h11
@@ -17,6 +18,9 @@
 # More idle connections to one address are closed.
 MAX_IDLE_CONNECTIONS = 4
 IDLE_CONNECTION_S = 20.0
+# While an answer arrives, its call does not time out before this time without
+# a further byte, up to the limit that the caller has set.
+STALL_S = 0.4
 
 
 class HttpClient:
@@ -39,6 +43,7 @@
         *,
         timeout_s: float = 1.0,
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
+        transfer_s: float = 0.0,
         fresh: bool = False,
     ) -> T | Failure:
         """Send a message and decode the answer.
@@ -49,6 +54,9 @@
             Time in seconds for the whole call.
         connect_timeout_s : float
             Time in seconds for opening a connection, if none is open.
+        transfer_s : float
+            Further time in seconds as long as the answer goes on arriving,
+            which a large one over a slow link needs.
         fresh : bool
             Whether to open a new connection in any case.
 
@@ -66,6 +74,7 @@
             content,
             timeout_s=timeout_s,
             connect_timeout_s=connect_timeout_s,
+            transfer_s=transfer_s,
             fresh=fresh,
         )
         if is_failure(answer):
@@ -92,17 +101,19 @@
         *,
         timeout_s: float = 1.0,
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
+        transfer_s: float = 0.0,
         fresh: bool = False,
     ) -> HttpResponse | Failure:
         """Send one request and return the response, whatever its status."""
         sent = False
         connection = None
         try:
-            async with asyncio.timeout(timeout_s):
+            async with asyncio.timeout(timeout_s) as limit:
                 connection = None if fresh else self._take(address)
                 if connection is None:
                     connection = await _connect(address, connect_timeout_s)
                 sent = True
+                connection.on_data = _extension(limit, transfer_s)
                 response = await connection.exchange(
                     _encode_request(address, method, path, body, headers)
                 )
@@ -170,6 +181,19 @@
     return connection
 
 
+def _extension(limit: asyncio.Timeout, transfer_s: float):
+    """Return a function that extends a time-out when bytes arrive."""
+    latest = limit.when() + transfer_s
+    loop = asyncio.get_running_loop()
+
+    def extend() -> None:
+        when = min(latest, loop.time() + STALL_S)
+        if when > limit.when() and not limit.expired():
+            limit.reschedule(when)
+
+    return extend
+
+
 def _encode_request(address, method, path, body, headers) -> tuple:
     lines = [("Host", address), ("Content-Length", str(len(body)))]
     if body:
@@ -187,6 +211,7 @@
         self.http = h11.Connection(h11.CLIENT)
         self.transport: asyncio.Transport | None = None
         self.waiter: asyncio.Future | None = None
+        self.on_data: collections.abc.Callable[[], None] | None = None
         self.status = 0
         self.headers: tuple = ()
         self.body = bytearray()
@@ -210,6 +235,8 @@
         return await self.waiter
 
     def data_received(self, data: bytes) -> None:
+        if self.on_data is not None:
+            self.on_data()
         try:
             self.http.receive_data(data)
             self._read_events()
@@ -234,6 +261,7 @@
                 return
 
     def _finish(self) -> None:
+        self.on_data = None
         response = HttpResponse(self.status, bytes(self.body), self.headers)
         if self.http.our_state is h11.DONE is self.http.their_state:
             self.http.start_next_cycle()
--- a/chivescale/httpio/tests/httpio.feature
+++ b/chivescale/httpio/tests/httpio.feature
@@ -31,3 +31,19 @@
       | does not answer                       | timeout         |
       | closes without an answer              | timeout         |
       | does not listen                       | unreachable     |
+
+  # Guards against a large answer that a slow link never carries within the
+  # time-out, so that the same request is repeated for good.
+  Scenario Outline: An answer that goes on arriving after the time-out
+    Given a server whose answer of <kb> KB arrives at <rate> KB/s and stalls after <sent> KB
+    When a client calls it that allows 0.3 s and <transfer> s for the transfer
+    Then the call ends as <kind>
+    And it took <least> to <most> s
+
+    Examples:
+      | kb  | rate | sent | transfer | kind    | least | most |
+      | 120 | 100  | 120  | 5        | success | 1.0   | 2.5  |
+      | 120 | 100  | 120  | 0        | timeout | 0.2   | 0.6  |
+      | 120 | 100  | 120  | 0.5      | timeout | 0.7   | 1.2  |
+      | 120 | 100  | 60   | 5        | timeout | 0.8   | 1.8  |
+      | 120 | 100  | 0    | 5        | timeout | 0.2   | 0.6  |
--- a/chivescale/httpio/tests/steps/httpio_steps.py
+++ b/chivescale/httpio/tests/steps/httpio_steps.py
@@ -5,6 +5,7 @@
 
 from behave import given, then, when
 
+from chivescale.clock import now
 from chivescale.errors import ErrorKind, is_failure
 from chivescale.httpio import (
     HttpClient,
@@ -134,3 +135,57 @@
     else:
         assert is_failure(outcome), outcome
         assert outcome.kind is ErrorKind(kind), outcome
+
+
+@given(
+    "a server whose answer of {kb:d} KB arrives at {rate:d} KB/s and stalls"
+    " after {sent:d} KB"
+)
+def slow_server(context, kb, rate, sent):
+    async def serve(reader, writer):
+        await reader.read(1000)
+        body = b"{" + b" " * (kb * 1000 - 2) + b"}"
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+        data = (head + body)[: sent * 1000 + (len(head) if sent else 0)]
+        for start in range(0, len(data), 5000):
+            if writer.is_closing():
+                return
+            writer.write(data[start : start + 5000])
+            await asyncio.sleep(5 / rate)
+        await reader.read()
+        writer.close()
+
+    context.serve = serve
+
+
+@when(
+    "a client calls it that allows {limit:g} s and {transfer:g} s for the"
+    " transfer"
+)
+def slow_call(context, limit, transfer):
+    async def work():
+        address = free_address()
+        host, port = address.split(":")
+        server = await asyncio.start_server(context.serve, host, int(port))
+        client = HttpClient()
+        began_at = now()
+        context.outcome = await client.call(
+            address,
+            "POST",
+            "/x",
+            Empty,
+            Empty(),
+            timeout_s=limit,
+            transfer_s=transfer,
+        )
+        context.took_s = now() - began_at
+        await client.close()
+        server.close()
+        await asyncio.sleep(0.1)
+
+    asyncio.run(work())
+
+
+@then("it took {least:g} to {most:g} s")
+def took(context, least, most):
+    assert least <= context.took_s < most, context.took_s
--- a/chivescale/relay/_coordinator_watcher.py
+++ b/chivescale/relay/_coordinator_watcher.py
@@ -27,6 +27,9 @@
 # if a coordinator has become silent.
 LEASE_POLL_MS = 350
 LEASE_POLL_MARGIN_S = 0.25
+# Further time while the answer goes on arriving. One with a configuration can
+# take seconds over a narrow link, and repeating the poll would not help.
+MAX_ANSWER_TRANSFER_S = 20.0
 # A coordinator without contact to a quorum for longer than this may not know
 # the configuration in force; another one is used.
 MAX_COORDINATOR_STALENESS_S = 0.5
@@ -193,6 +196,7 @@
             request,
             timeout_s=wait_ms / 1000 + margin_s,
             connect_timeout_s=connect_timeout_s,
+            transfer_s=MAX_ANSWER_TRANSFER_S,
         )
 
     async def release_leases(self) -> None:
