Move the schedule of a planned stop out of the relay

Cause: both kinds of entry host stop as planned, and only the relay had the schedule.

Change: chivescale.stopping holds the schedule and its tests; nothing else.

--- a/chivescale/relay/_drain.py
+++ b/chivescale/relay/_drain.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from chivescale.clock import now
-from chivescale.relay._stop_schedule import REASON
+from chivescale.stopping import REASON
 from chivescale.telemetry import log_event
 
 POLL_INTERVAL_S = 0.05
--- a/chivescale/relay/_gateway.py
+++ b/chivescale/relay/_gateway.py
@@ -23,8 +23,8 @@
 from chivescale.messages import Position, decode, encode
 from chivescale.relay._prepare import PreparedStatement
 from chivescale.relay._request import StatementRequest
-from chivescale.relay._stop_schedule import StopSchedule
 from chivescale.relay._transaction import Transaction
+from chivescale.stopping import StopSchedule
 from chivescale.telemetry import log_event
 
 # The forwarding host rolls back idle transactions itself. If it fails to,
--- a/chivescale/relay/_host.py
+++ b/chivescale/relay/_host.py
@@ -20,8 +20,8 @@
 from chivescale.relay._gateway import GatewayServer
 from chivescale.relay._isolation import IsolationMonitor
 from chivescale.relay._session import ClientSession
-from chivescale.relay._stop_schedule import StopSchedule
 from chivescale.relay._term_leases import TermLeases
+from chivescale.stopping import StopSchedule
 from chivescale.supervision import run_supervised
 from chivescale.telemetry import COUNTERS, log_decision, log_event
 
--- a/chivescale/relay/_request.py
+++ b/chivescale/relay/_request.py
@@ -8,7 +8,7 @@
 from chivescale.errors import ErrorKind, Failure
 from chivescale.messages import Position
 from chivescale.relay._prepare import PreparedStatement
-from chivescale.relay._stop_schedule import REASON, StopSchedule
+from chivescale.stopping import REASON, StopSchedule
 
 # Fraction of the latency goal for which a statement waits for a connection.
 # After a longer wait it could hardly meet the goal; the client can retry.
--- a/chivescale/relay/tests/steps/stop_schedule_steps.py
+++ b/chivescale/stopping/tests/steps/stop_schedule_steps.py
@@ -2,7 +2,7 @@
 
 from behave import given, then
 
-from chivescale.relay._stop_schedule import StopSchedule
+from chivescale.stopping import StopSchedule
 
 ASKED_AT = 100.0
 
