Stop MySQL entry hosts by the schedule of the relay

Callers saw: from SIGTERM on, an entry host refused every new connection (6 of 6 in 2 s), while load balancers still forwarded them, and closed each session that was between two statements, so that a BEGIN sent right after a COMMIT got "Lost connection" (6 ms after the signal). An open transaction could take the whole grace period.

Cause: the MySQL host had a stop of its own: it closed its port first, and looked each 50 ms for sessions without a statement.

Change: both kinds of host use chivescale.stopping. The host is not ready at once and serves what comes, also new connections, for 2.5 s; then it closes sessions that have been idle for 0.5 s. In the second half of the grace period it rolls back open transactions and refuses new ones and what may not end in time; a refused session is closed after its answer. A command that has arrived when a session is closed is answered first. A drain that an operator orders takes the same way; the port is closed at its end.

Evidence and result: features/faults/stopping.feature (real processes, PyMySQL).

--- a/chivescale/entry/_api.py
+++ b/chivescale/entry/_api.py
@@ -1,7 +1,5 @@
 """HTTP routes of an entry host."""
 
-import asyncio
-
 import msgspec
 
 from chivescale import clock
@@ -80,7 +78,7 @@
         return host.status()
 
     async def drain(request: Request):
-        host.drain_task = asyncio.ensure_future(host.drain())
+        host.begin_drain()
         return Accepted(reason="draining")
 
     return [
--- a/chivescale/entry/_callers.py
+++ b/chivescale/entry/_callers.py
@@ -1,4 +1,4 @@
-"""Caller connections of an entry host: login, statements and draining."""
+"""Caller connections of an entry host: login and statements."""
 
 import asyncio
 
@@ -91,8 +91,6 @@
 
     async def admit(self) -> Failure | None:
         """Reject a new connection that could not be served."""
-        if self.environment.draining:
-            return Failure(ErrorKind.SHUTTING_DOWN, "host is draining")
         if not self.is_synced():
             return Failure(ErrorKind.NOT_READY, "host is starting")
         return None
@@ -165,39 +163,31 @@
             await asyncio.sleep(SWEEP_INTERVAL_S * 10)
 
     def _abort_if_idle(self, session: CallerSession, now: float) -> None:
-        state = session.data
         limit_s = self.environment.entry.transaction_idle_s
-        if state.pinned is None or session.executing:
-            return
-        if now - state.last_used_at >= limit_s:
-            close_transaction(state, session)
-            state.abort_failure = Failure(
-                ErrorKind.TRANSACTION_ABORTED,
-                f"transaction was idle for {limit_s:g} s",
-            )
-            log_event("transaction_idle", workspace=session.workspace)
+        if now - session.data.last_used_at >= limit_s:
+            reason = f"transaction was idle for {limit_s:g} s"
+            self.abort_transaction(session, reason, "transaction_idle")
 
-    async def drain(self, timeout_s: float) -> bool:
-        """Close each session once its work has ended.
+    def abort_transaction(
+        self, session: CallerSession, reason: str, event: str
+    ) -> bool:
+        """Roll back the open transaction unless a statement is running.
 
         Returns
         -------
         bool
-            Whether all sessions ended before the timeout; the remaining ones
-            are closed.
+            Whether it was rolled back; the next statement is told.
         """
-        self.environment.draining = True
-        drain_deadline = clock.now() + timeout_s
-        while self.sessions and clock.now() < drain_deadline:
-            for session in list(self.sessions):
-                if not session.executing and not session.in_transaction:
-                    session.kill(_DRAINING_FAILURE)
-            await asyncio.sleep(SWEEP_INTERVAL_S / 2)
-        remaining = list(self.sessions)
-        for session in remaining:
-            session.kill(_DRAINING_FAILURE)
-        return not remaining
+        state = session.data
+        if state.pinned is None or session.executing:
+            return False
+        close_transaction(state, session)
+        state.abort_failure = Failure(ErrorKind.TRANSACTION_ABORTED, reason)
+        log_event(event, workspace=session.workspace)
+        return True
 
 
-_DRAINING_FAILURE = Failure(ErrorKind.SHUTTING_DOWN, "host is draining")
-_SESSION_ENDING_KINDS = frozenset({ErrorKind.WORKSPACE_REMOVED})
+# An answer of these kinds is the last one of its connection.
+_SESSION_ENDING_KINDS = frozenset(
+    {ErrorKind.WORKSPACE_REMOVED, ErrorKind.SHUTTING_DOWN}
+)
--- a/chivescale/entry/_host.py
+++ b/chivescale/entry/_host.py
@@ -8,6 +8,7 @@
 from chivescale import clock, mysql
 from chivescale.entry._api import EntryStatus, entry_routes
 from chivescale.entry._callers import Callers
+from chivescale.entry._drain import drain
 from chivescale.entry._heartbeat import ControlLeaderClient, send_heartbeats
 from chivescale.entry._probes import Probes
 from chivescale.entry._services import Services
@@ -173,8 +174,8 @@
         self.callers.on_state_change()
         own = state.hosts.get(self.settings.host.name)
         is_current = own is not None and own.incarnation == self.incarnation
-        if is_current and own.draining and self.drain_task is None:
-            self.drain_task = asyncio.ensure_future(self.drain())
+        if is_current and own.draining:
+            self.begin_drain()
 
     async def _send_heartbeats(self) -> None:
         await send_heartbeats(
@@ -239,19 +240,32 @@
         )
 
     async def drain(self) -> bool:
-        """Reject new work and wait for open work to end.
+        """Drain the host; it reports not ready immediately.
+
+        What it still takes, and until when, is decided by its schedule. May
+        be called again, also while it drains.
 
         Returns
         -------
         bool
-            Whether all work ended before the drain timeout.
+            Whether all work ended before it had to be cut short.
         """
-        self.environment.draining = True
+        return await asyncio.shield(self.begin_drain())
+
+    def begin_drain(self) -> asyncio.Task:
+        """Begin to drain the host, unless it drains already."""
+        if self.drain_task is None:
+            self.drain_task = asyncio.ensure_future(self._drain())
+        return self.drain_task
+
+    async def _drain(self) -> bool:
+        schedule = self.environment.schedule
+        schedule.begin(clock.now(), self.settings.entry.drain_timeout_s)
         log_event("draining", callers=len(self.callers.sessions))
+        complete = await drain(self.callers, schedule)
         if self.mysql is not None:
             self.mysql.stop_accepting()
-        timeout_s = self.settings.entry.drain_timeout_s
-        return await self.callers.drain(timeout_s)
+        return complete
 
     async def stop(self) -> None:
         """Cancel background tasks and close servers and connections."""
--- a/chivescale/mysql/_connection.py
+++ b/chivescale/mysql/_connection.py
@@ -123,7 +123,10 @@
             self.stream.start_command()
             try:
                 data = await self.stream.read()
-                if self.ending is not None or not await self._dispatch(data):
+                if self.ending is not None:
+                    await self.answer(self.ending)
+                    return
+                if not await self._dispatch(data):
                     return
             except ConnectionEnded:
                 return
@@ -170,7 +173,7 @@
             # A handler may end its own session; its outcome is still sent.
             if asyncio.current_task() is not self.task:
                 self.task.cancel()
-        else:
+        elif not (self.stream.reader.unread or self.stream.receiving):
             self.stream.close()
 
     async def run_statement(self, sql: str, attrs: dict):
--- a/chivescale/mysql/_session.py
+++ b/chivescale/mysql/_session.py
@@ -51,9 +51,10 @@
     def kill(self, failure: Failure) -> None:
         """End the connection.
 
-        An idle connection closes at once. A running statement is cancelled
-        and answered with `failure`, unless its handler catches the
-        cancellation and returns an outcome of its own, which is then sent.
+        An idle connection closes at once; if a command is arriving, after it
+        was answered with `failure`. A running statement is cancelled and
+        answered with `failure`, unless its handler catches the cancellation
+        and returns an outcome of its own, which is then sent.
         """
         if self.end is not None:
             self.end(failure)
--- a/chivescale/mysql/_stream.py
+++ b/chivescale/mysql/_stream.py
@@ -33,6 +33,11 @@
         super().__init__(limit=READ_BUFFER_BYTES, loop=loop)
         self.on_end: collections.abc.Callable[[], None] | None = None
 
+    @property
+    def unread(self) -> bool:
+        """Whether bytes have arrived that were not read yet."""
+        return bool(self._buffer)
+
     def feed_eof(self) -> None:
         super().feed_eof()
         if self.on_end is not None:
@@ -60,6 +65,11 @@
         Largest command, in bytes.
     write_s : float
         Limit for one answer.
+
+    Attributes
+    ----------
+    receiving : bool
+        Whether a part of a packet has been read.
     """
 
     def __init__(self, reader, writer, sequence: int, limit: int, write_s):
@@ -68,6 +78,7 @@
         self.sequence = sequence
         self.limit = limit
         self.write_s = write_s
+        self.receiving = False
 
     async def read(self) -> bytes:
         """Return the next packet.
@@ -83,6 +94,7 @@
         while True:
             try:
                 header = await self.reader.readexactly(HEADER_BYTES)
+                self.receiving = True
                 size = int.from_bytes(header[:3], "little")
                 if header[3] != self.sequence:
                     raise MalformedPacket("packets out of order")
@@ -94,6 +106,7 @@
             except (asyncio.IncompleteReadError, OSError) as err:
                 raise ConnectionEnded() from err
             if size < MAX_FRAME_BYTES:
+                self.receiving = False
                 return data
 
     async def _discard(self, size: int) -> None:
--- a/chivescale/pipeline/_admission.py
+++ b/chivescale/pipeline/_admission.py
@@ -5,10 +5,16 @@
 from chivescale.messages import ServiceBinding, WorkspaceRecord
 from chivescale.pipeline._call import Answer, Call, Environment, Step
 from chivescale.pipeline._transaction import close_transaction
-from chivescale.routing import Hints, classify, parse_hints
+from chivescale.routing import (
+    Hints,
+    StatementClass,
+    classify,
+    parse_hints,
+)
 from chivescale.session import SessionPosition
 
 _TRANSACTION_END_CLASSES = ("commit", "rollback")
+_ENDPOINT_CLASSES = frozenset({StatementClass.READ, StatementClass.WRITE})
 
 
 def find_binding(
@@ -117,10 +123,13 @@
 
 
 async def admit(call: Call, next_step: Step) -> Answer:
-    """Reject statements while draining or above the workspace limits."""
+    """Reject statements of a stopping host or above the workspace limits."""
     in_transaction = call.state.pinned is not None
-    if call.environment.draining and not in_transaction:
-        return Failure(ErrorKind.SHUTTING_DOWN, "host is draining")
+    refusal = _refuse_if_stopping(call)
+    if refusal is not None:
+        if in_transaction:
+            close_transaction(call.state, call.session)
+        return refusal
     call.environment.retries.record_request()
     limits = call.environment.limits(call.workspace.name)
     if in_transaction and call.statement_class in _TRANSACTION_END_CLASSES:
@@ -135,3 +144,24 @@
         return await next_step(call)
     finally:
         limits.finish_statement()
+
+
+def _refuse_if_stopping(call: Call) -> Failure | None:
+    """Return a failure if the host stops too soon for a statement."""
+    schedule = call.environment.schedule
+    now = clock.now()
+    kind = call.statement_class
+    if call.state.abort_failure is not None:
+        # The caller must learn first that its transaction was rolled back.
+        return None
+    if call.state.pinned is not None:
+        if kind is StatementClass.ROLLBACK:
+            return None
+        return schedule.refuse_in_transaction(now)
+    if kind is StatementClass.BEGIN:
+        return schedule.refuse_begin(now)
+    if kind not in _ENDPOINT_CLASSES:
+        return None
+    if not call.session.autocommit:
+        return schedule.refuse_begin(now)
+    return schedule.refuse_statement(now, call.deadline)
--- a/chivescale/pipeline/_call.py
+++ b/chivescale/pipeline/_call.py
@@ -16,6 +16,7 @@
 from chivescale.routing import Hints, StatementClass
 from chivescale.session import SessionPosition
 from chivescale.settings import EntrySettings, PoolSettings
+from chivescale.stopping import StopSchedule
 from chivescale.telemetry import Metrics
 
 
@@ -70,8 +71,8 @@
         Random number generator for backoff and endpoint selection.
     zone : str
         Availability zone of the host.
-    draining : bool
-        Whether new transactions and statements are rejected.
+    schedule : StopSchedule
+        What the host still takes once it was asked to stop.
     """
 
     workspaces: collections.abc.Callable[[str], WorkspaceRecord | None]
@@ -83,7 +84,12 @@
     retries: RetryBudget
     rng: random.Random
     zone: str = ""
-    draining: bool = False
+    schedule: StopSchedule = msgspec.field(default_factory=StopSchedule)
+
+    @property
+    def draining(self) -> bool:
+        """Whether the host was asked to stop."""
+        return self.schedule.begun
 
 
 class PinnedTransaction(msgspec.Struct):
--- a/features/faults/environment.py
+++ b/features/faults/environment.py
@@ -9,6 +9,11 @@
     "service": Plan(control=3),
     "control": Plan(workspaces=("mill-1",)),
     "leaving": Plan(control=3, endpoints=5, workspaces=("mill-1",)),
+    "stopping": Plan(
+        control=3,
+        workspaces=("mill-1",),
+        overrides={"entry": {"drain_timeout_s": 6.0, "deadline_ms": 9000}},
+    ),
     "relayed": Plan(control=3, entry=1, workspaces=("mill-1",)),
 }
 
--- a/features/faults/steps/service_steps.py
+++ b/features/faults/steps/service_steps.py
@@ -235,6 +235,7 @@
 @when("{host} gets SIGTERM")
 def sigterm(context, host):
     context.system.signal(host, signal.SIGTERM)
+    context.signalled_at = time.monotonic()
     context.system.wait_until(
         lambda: not context.system.entry_is_ready(host), "the drain", WAIT_S
     )
--- a/features/operator/steps/system_steps.py
+++ b/features/operator/steps/system_steps.py
@@ -224,17 +224,26 @@
     assert answer["exit_code"] == 0, answer
 
 
-@then("the host is not ready and refuses new callers")
+@then("the host is not ready and still serves new callers")
 def not_ready(context):
     system = context.system
     system.wait_until(
         lambda: not system.entry_is_ready(context.name), "the drain", WAIT_S
     )
-    try:
-        connect(context, context.name).close()
-    except pymysql.err.OperationalError:
-        return
-    raise AssertionError("a new caller was admitted")
+    with connect(context, context.name) as caller, caller.cursor() as cursor:
+        cursor.execute("SELECT id FROM drained")
+
+
+@then("the host refuses new callers within {seconds:d} s")
+def refuses(context, seconds):
+    def refused():
+        try:
+            connect(context, context.name).close()
+        except pymysql.err.OperationalError:
+            return True
+        return False
+
+    context.system.wait_until(refused, "the end of the drain", seconds)
 
 
 @then("the transaction commits")
--- a/features/operator/system.feature
+++ b/features/operator/system.feature
@@ -32,8 +32,9 @@
   Scenario: A drained host finishes the open transaction first
     Given a transaction with one write on an entry host
     When the operator drains that host
-    Then the host is not ready and refuses new callers
+    Then the host is not ready and still serves new callers
     And the transaction commits
+    And the host refuses new callers within 4 s
     And the operator learns that the host serves no caller
 
   Scenario: A host with an open transaction ends at once on a second signal
