Report a planned stop that was cut short by the exit code

Operators saw: exit code 0 after a stop that had rolled back transactions or closed sessions with work, though the manual promises 1.

Cause: the daemon ignored what each host returned from its drain and knew only of a drain that hung.

Evidence and result: features/faults/stopping.feature "An open transaction", three rows: exit code 0 before, 1 now.

--- a/chivescale/daemon/_run.py
+++ b/chivescale/daemon/_run.py
@@ -74,7 +74,7 @@
 
 
 async def _drain(hosts: list, timeout_s: float) -> bool:
-    """Drain the hosts that serve callers; return False after a time-out."""
+    """Drain the hosts that serve callers; return whether all work ended."""
     drains = [host.drain() for host in hosts if hasattr(host, "drain")]
     if not drains:
         return True
@@ -82,11 +82,12 @@
     try:
         # Each host limits its own drain time; this catches one that hangs.
         async with asyncio.timeout(timeout_s + DRAIN_EXTRA_S):
-            await asyncio.gather(*drains)
+            complete = all(await asyncio.gather(*drains))
     except TimeoutError:
+        complete = False
+    if not complete:
         log_event("drain_cut_short", "warning", timeout_s=timeout_s)
-        return False
-    return True
+    return complete
 
 
 async def _stop_all(started: list) -> bool:
--- a/features/faults/stopping.feature
+++ b/features/faults/stopping.feature
@@ -37,9 +37,9 @@
     Examples: it has the first half of the grace period to end
       | seconds | statement | answer                | kept | code |
       | 2.5     | COMMIT    | success               | 1    | 0    |
-      | 3.3     | COMMIT    | [transaction_aborted] | 0    | 0    |
-      | 3.3     | SELECT 1  | [transaction_aborted] | 0    | 0    |
-      | 3.3     | ROLLBACK  | success               | 0    | 0    |
+      | 3.3     | COMMIT    | [transaction_aborted] | 0    | 1    |
+      | 3.3     | SELECT 1  | [transaction_aborted] | 0    | 1    |
+      | 3.3     | ROLLBACK  | success               | 0    | 1    |
 
   Scenario: Two signals
     Given a transaction with one booking on entry-2
