Tell what is known of a statement that a stopping host interrupts

Callers saw: a write that still ran when an entry host gave up waiting was answered with [shutting_down], which says that nothing ran and that it may be sent again; the write took effect, so a caller that followed the advice doubled it. A read got the same answer.

Cause: the statement was cancelled, and its connection answered with the reason of the stop, whatever had left the host.

Change: the pipeline names the outcome of a cancelled statement: unknown for a write, a COMMIT and whatever commits implicitly; aborted inside a transaction, which is rolled back; interrupted for a read.

--- a/chivescale/entry/_callers.py
+++ b/chivescale/entry/_callers.py
@@ -14,6 +14,7 @@
     build_request_path,
     close_transaction,
     find_binding,
+    interrupted,
     resolve_access,
 )
 from chivescale.telemetry import log_event
@@ -139,8 +140,13 @@
         call = Call(
             self.environment, session, sql, query_attributes, clock.now()
         )
+        in_transaction = session.in_transaction or not session.autocommit
         try:
             answer = await self.run_call(call)
+        except asyncio.CancelledError:
+            if session.killed is None:
+                raise
+            answer = interrupted(call, in_transaction, session.killed.reason)
         finally:
             if call.state.pinned is None:
                 session.in_transaction = False
--- a/chivescale/mysql/_session.py
+++ b/chivescale/mysql/_session.py
@@ -34,6 +34,8 @@
         Free for the handlers.
     executing : bool
         Whether a statement is running.
+    killed : Failure or None
+        Why the connection ends, once `kill` was called.
     """
 
     def __init__(self, connection_id: int, peer: str = ""):
@@ -46,6 +48,7 @@
         self.variables = {}
         self.data: typing.Any = None
         self.executing = False
+        self.killed: Failure | None = None
         self.end: collections.abc.Callable[[Failure], None] | None = None
 
     def kill(self, failure: Failure) -> None:
@@ -57,6 +60,7 @@
         and returns an outcome of its own, which is then sent.
         """
         if self.end is not None:
+            self.killed = self.killed or failure
             self.end(failure)
 
 
--- a/chivescale/pipeline/__init__.py
+++ b/chivescale/pipeline/__init__.py
@@ -25,6 +25,7 @@
 )
 from chivescale.pipeline._dispatch import dispatch, track_session
 from chivescale.pipeline._gate import EndpointGate
+from chivescale.pipeline._interrupt import interrupted
 from chivescale.pipeline._service import ServiceView
 from chivescale.pipeline._transaction import close_transaction
 
@@ -40,6 +41,7 @@
     "close_transaction",
     "compose",
     "find_binding",
+    "interrupted",
     "resolve_access",
 ]
 
--- a/features/faults/stopping.feature
+++ b/features/faults/stopping.feature
@@ -41,6 +41,20 @@
       | 3.3     | SELECT 1  | [transaction_aborted] | 0    | 1    |
       | 3.3     | ROLLBACK  | success               | 0    | 1    |
 
+  # Guards against a write that may have run and is answered with an error that
+  # tells the caller to send it again.
+  Scenario Outline: A statement that outlasts the grace period
+    Given endpoints that take 8 s for a statement
+    And a caller on entry-2 that is running <statement>
+    When entry-2 gets SIGTERM
+    Then its statement is answered with <answer>
+    And entry-2 stops within 6 s with exit code 1
+
+    Examples:
+      | statement | answer             |
+      | a booking | [outcome_unknown]  |
+      | a read    | [read_interrupted] |
+
   Scenario: Two signals
     Given a transaction with one booking on entry-2
     When entry-2 gets SIGTERM
