--- a/chivescale/mysql/tests/callers.feature
+++ b/chivescale/mysql/tests/callers.feature
@@ -119,6 +119,13 @@
     Given a scripted server
     Then a reset connection has no transaction and no prepared statements
 
+  # Guards against a command that reaches a session at the moment of its end and
+  # gets no answer.
+  Scenario: A session is killed while a command arrives
+    Given a scripted server
+    When a session is killed after a part of a command has arrived
+    Then the command is answered with error 1053 and its session is closed
+
   Scenario Outline: A killed session
     Given a scripted server
     When a session is killed while <state>
--- a/chivescale/mysql/tests/steps/caller_steps.py
+++ b/chivescale/mysql/tests/steps/caller_steps.py
@@ -389,3 +389,27 @@
     context.thread.run(context.script.server.close())
     assert _errno(_run, context.second, "SELECT 1") in (2006, 2013)
     assert len(context.script.closed) == 1
+
+
+@when("a session is killed after a part of a command has arrived")
+def killed_while_arriving(context):
+    sock, _ = support.raw_login(context)
+    session = next(iter(context.script.server.sessions.values()))
+    command = packet(0, b"\x03SELECT 1")
+    sock.sendall(command[:6])
+    time.sleep(0.1)
+
+    async def kill():
+        session.kill(Failure(ErrorKind.SHUTTING_DOWN, "draining"))
+
+    context.thread.run(kill())
+    sock.sendall(command[6:])
+    context.answer = read_packet(sock)[1]
+
+
+@then("the command is answered with error {errno:d} and its session is closed")
+def answered_and_closed(context, errno):
+    assert context.answer[0] == 0xFF, context.answer
+    assert int.from_bytes(context.answer[1:3], "little") == errno
+    assert context.script.statements == []
+    assert context.script.ended.wait(support.WAIT_S)
