Keep a MySQL host running on SIGHUP

Callers saw: "Lost connection" in the middle of a transaction when an operator or a terminal sent SIGHUP to an entry host, also 0.2 s before or after SIGTERM: the process ended at once.

Cause: no handler was set, and the default action of SIGHUP ends a process.

Change: the daemon ignores it from its first line on and logs that settings are read at the start only.

--- a/chivescale/daemon/_main.py
+++ b/chivescale/daemon/_main.py
@@ -2,6 +2,7 @@
 
 import argparse
 import asyncio
+import signal
 import sys
 
 import chivescale
@@ -25,6 +26,8 @@
         could not start.
     """
     options = _parse_arguments(arguments)
+    # Until its handler is set, SIGHUP would end the process.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     settings = load_settings(options.settings)
     if is_failure(settings):
         print(settings.reason, file=sys.stderr)
@@ -49,8 +52,8 @@
         prog="chivescaled",
         description="Entry or control host of chivescale.",
         epilog="SIGTERM or SIGINT drains the host and stops it; a second "
-        "signal stops it at once. Exit codes: 0 graceful shutdown, 1 forced "
-        "shutdown, 2 not started.",
+        "signal stops it at once. SIGHUP has no effect. Exit codes: 0 "
+        "graceful shutdown, 1 forced shutdown, 2 not started.",
     )
     parser.add_argument(
         "--settings", required=True, metavar="FILE", help="TOML file"
--- a/chivescale/daemon/_run.py
+++ b/chivescale/daemon/_run.py
@@ -117,6 +117,10 @@
 
     for number in SIGNALS:
         loop.add_signal_handler(number, handle, number.name)
+    loop.add_signal_handler(
+        signal.SIGHUP,
+        lambda: log_event("settings_not_read", reason="read at start only"),
+    )
 
 
 def _log_exception(_loop, context: dict) -> None:
--- a/features/faults/steps/stopping_steps.py
+++ b/features/faults/steps/stopping_steps.py
@@ -152,6 +152,19 @@
     context.signalled_at = time.monotonic()
 
 
+@when("{host} gets SIGHUP")
+def reload(context, host):
+    context.system.signal(host, signal.SIGHUP)
+    context.signalled_at = time.monotonic()
+
+
+@when("{host} gets {name} {seconds:g} s later")
+def gets_later(context, host, name, seconds):
+    time.sleep(seconds)
+    context.system.signal(host, signal.Signals[name])
+    context.signalled_at = time.monotonic()
+
+
 @when("{count:d} callers connect to {host} in {seconds:g} s and write")
 def callers_connect(context, count, host, seconds):
     context.outcomes = []
--- a/features/faults/stopping.feature
+++ b/features/faults/stopping.feature
@@ -55,6 +55,20 @@
       | a booking | [outcome_unknown]  |
       | a read    | [read_interrupted] |
 
+  # Guards against a process that the signal to reload ends at once.
+  Scenario Outline: A signal to reload around a stop
+    Given a transaction with one booking on entry-2
+    When entry-2 gets <first>
+    And entry-2 gets <second> 0.2 s later
+    Then its COMMIT gets success
+    And the booking is there 1 times
+    And entry-2 stops within 6 s with exit code 0
+
+    Examples:
+      | first   | second  |
+      | SIGHUP  | SIGTERM |
+      | SIGTERM | SIGHUP  |
+
   Scenario: Two signals
     Given a transaction with one booking on entry-2
     When entry-2 gets SIGTERM
