Keep the contact with the quorum out of a test of polls

Cause: the test's three coordinators share one process. A pause of it longer than 0.5 s makes the leader step down, and a poll without contact is answered at once, as it has to be. The test is about heartbeats, not about contact.

Evidence: with a pause of 0.7 s put into the step, the former test fails with the message of the entry, "()", and this one passes.

Change: during this scenario the coordinator of the poll reports contact, and the limits of a poll are 20 s. What is checked is the same: no heartbeat without news wakes the poll, and the claim does at once.

--- a/chivescale/coordinator/tests/steps/recall_steps.py
+++ b/chivescale/coordinator/tests/steps/recall_steps.py
@@ -9,6 +9,7 @@
 from disk_steps import Coordinator, run
 
 from chivescale.clock import now
+from chivescale.coordinator import _distributor
 from chivescale.coordinator._saved_state import FILE_NAME
 from chivescale.messages import EntryHostRecord, WatchRequest
 from chivescale.registry import EndpointBeat
@@ -18,6 +19,8 @@
 QUORUM_CONTACT_S = 0.5
 # A poll that waits is checked this often.
 POLL_CHECK_S = 0.25
+# Longer than any pause of the test's process.
+POLL_LIMIT_S = 20.0
 
 
 def heartbeat(endpoint: str, port: int, **changes) -> EndpointBeat:
@@ -129,6 +132,14 @@
     " {count:d} heartbeats without news"
 )
 def polls_without_news(context, count):
+    # A pause of this process, which runs the whole group, would end the poll
+    # for lack of contact.
+    context.group[0].host.contact_age_s = lambda: 0.0
+    for name in ("CONTACT_CHECK_S", "MAX_WATCH_S"):
+        usual = getattr(_distributor, name)
+        context.add_cleanup(setattr, _distributor, name, usual)
+        setattr(_distributor, name, POLL_LIMIT_S)
+
     async def work():
         distributor = context.group[0].host.distributor
         host = EntryHostRecord("h1", "z1", "127.0.0.1:9")
@@ -143,7 +154,7 @@
             revision=answer.revision,
             version=10**9,
             suspects=(),
-            wait_ms=900,
+            wait_ms=round(1000 * POLL_LIMIT_S),
         )
         context.poll = asyncio.ensure_future(distributor.watch(request))
         await asyncio.sleep(0)
