Call a host drained once it takes no callers any more

Cause: the command took a draining host without callers for drained, which was true only while a draining host refused callers.

Change: the status of a host tells whether it has drained; hosts of an earlier version are judged as before.

--- a/chivescale/cli/_control.py
+++ b/chivescale/cli/_control.py
@@ -60,9 +60,11 @@
 def _is_drained(answers: list, name: str) -> bool:
     for host, status in answers:
         if host.host == name:
-            return is_failure(status) or (
-                status.draining and not status.callers
-            )
+            if is_failure(status):
+                return True
+            if status.drained is not None:
+                return status.drained
+            return status.draining and not status.callers
     return True
 
 
--- a/chivescale/cli/_snapshot.py
+++ b/chivescale/cli/_snapshot.py
@@ -21,6 +21,7 @@
     draining: bool = False
     callers: int = 0
     transactions: int = 0
+    drained: bool | None = None
 
 
 class SystemSnapshot(msgspec.Struct):
--- a/chivescale/entry/_api.py
+++ b/chivescale/entry/_api.py
@@ -23,13 +23,17 @@
     sheet : int
         Number of the current sheet; 0 for none.
     ready, draining : bool
-        Whether new connections are accepted; whether the host is draining.
+        Whether load balancers should send callers; whether the host is
+        draining.
     callers, transactions : int
         Number of open caller connections and transactions.
     held : dict of int
         Number of connections held for each endpoint.
     proven_age_ms : dict of float
         Proven age of each endpoint; -1 if unknown.
+    drained : bool or None
+        Whether the host has drained and takes no caller any more; None if a
+        host of an earlier version does not tell.
     """
 
     host: str
@@ -42,6 +46,7 @@
     transactions: int
     held: dict[str, int]
     proven_age_ms: dict[str, float]
+    drained: bool | None = None
 
 
 def entry_routes(host) -> list[Route]:
--- a/chivescale/entry/_host.py
+++ b/chivescale/entry/_host.py
@@ -237,6 +237,7 @@
                 name: -1.0 if age is None else round(age * 1000, 1)
                 for name, age in ages.items()
             },
+            drained=self.drain_task is not None and self.drain_task.done(),
         )
 
     async def drain(self) -> bool:
--- a/features/operator/steps/system_steps.py
+++ b/features/operator/steps/system_steps.py
@@ -2,6 +2,7 @@
 
 import shutil
 import signal
+import time
 
 import pymysql
 from behave import given, then, when
@@ -285,3 +286,24 @@
 def ends_with(context, code):
     process = context.system.by_name[context.name].popen
     assert process.wait(WAIT_S) == code, process.returncode
+
+
+@when("the operator drains entry-2 and waits for its end")
+def drain_and_wait(context):
+    context.name = "entry-2"
+    began_at = time.monotonic()
+    answer = context.system.operate("drain", context.name, "--wait", "10")
+    assert answer["exit_code"] == 0 and answer["drained"], answer
+    context.took_s = time.monotonic() - began_at
+
+
+@then("the operator learned this after {seconds:d} s at least")
+def learned_after(context, seconds):
+    assert context.took_s >= seconds, context.took_s
+
+
+@when("it is restarted")
+def restarted(context):
+    context.system.stop(context.name)
+    context.system.start(context.name)
+    context.system.wait_for_entry()
--- a/features/operator/system.feature
+++ b/features/operator/system.feature
@@ -37,6 +37,15 @@
     And the host refuses new callers within 4 s
     And the operator learns that the host serves no caller
 
+  # Guards against a host that is called drained while load balancers still
+  # send it callers.
+  Scenario: A host without callers has drained once no more can come
+    When the operator drains entry-2 and waits for its end
+    Then the operator learned this after 2 s at least
+    And the host refuses new callers within 1 s
+    When it is restarted
+    Then the status is healthy
+
   Scenario: A host with an open transaction ends at once on a second signal
     Given a transaction with one write on an entry host
     When the host gets SIGTERM
