Remove two silent voters only after longer than a split

Callers would have seen: a group of four that had bridged a split and a planned replacement never had a quorum again.

Cause: of two silent voters the one that was only cut off went first, after 3 s. Between the two removals the group then bears one loss less, and a third voter stopped at that moment: two of four alive, for good.

Change: two of an odd number go only after 10 s of silence, which is longer than a split, and only if the alive voters that are not stopping are a quorum after the first removal as well.

--- a/chivescale/agreement/_roster.py
+++ b/chivescale/agreement/_roster.py
@@ -5,9 +5,9 @@
 bears the loss of as many disks as the odd number below it, with a larger
 quorum. Removing one of 2k voters keeps what the group bears and lowers the
 quorum. Removing one of 2k + 1 would cost the group one loss, so that is done
-only if a second one is silent as well, and only while the group bears the
-losses that it has to without these two: they may be cut off and hold the only
-other copies.
+only if a second one is silent as well, for longer than a split lasts, and only
+while the group bears the losses that it has to without these two: they may be
+cut off and hold the only other copies.
 """
 
 import msgspec
@@ -20,6 +20,9 @@
 # The same if a member with a new name became a voter meanwhile, or if the
 # voter has not answered since the leader was elected.
 RETIRE_MISSING_AFTER_S = 1.0
+# The same for two voters of an odd number. Between the two removals the group
+# bears one loss less if the first one is only cut off.
+RETIRE_TWO_AFTER_S = 10.0
 # A learner counts towards no quorum; an unreachable one is removed so that it
 # does not stay a member for good.
 RETIRE_LEARNER_AFTER_S = 20.0
@@ -149,15 +152,25 @@
         # A learner that is about to become a voter changes the parity.
         if not silent or learners & reachable:
             return None
-        if can_lose_voter(configuration) or (
-            len(silent) > 1 and self._can_lose_two_voters(configuration)
-        ):
+        if can_lose_voter(configuration):
+            return Retire(min(silent)[1])
+        silent = [s for s in silent if now - s[0] >= RETIRE_TWO_AFTER_S]
+        if len(silent) > 1 and self._can_lose_two(configuration, reachable):
             return Retire(min(silent)[1])
         return None
 
-    def _can_lose_two_voters(self, configuration: Configuration) -> bool:
-        """Return whether enough voters remain to bear the losses."""
-        return len(configuration.voters) - 2 >= 2 * self.losses + 1
+    def _can_lose_two(self, configuration: Configuration, reachable) -> bool:
+        """Return whether the group bears its losses without two voters.
+
+        Also the first of the two removals must leave a quorum, without the
+        voters that are stopping.
+        """
+        voters = {member.name for member in configuration.voters}
+        alive = 1 + len(voters & reachable - set(self.leaving))
+        remaining = len(voters) - 2
+        return remaining >= 2 * self.losses + 1 and (
+            alive > (remaining + 1) // 2
+        )
 
     def _timeout_s(self, name: str, learners: set[str]) -> float:
         if name in learners:
--- a/chivescale/agreement/tests/explorer.feature
+++ b/chivescale/agreement/tests/explorer.feature
@@ -54,6 +54,13 @@
       | 6    | 30058 | calm unplanned follower, calm planned follower, soon planned follower, calm wipe follower, soon wipe follower                         |
       | 6    | 91302 | calm planned follower, calm join_halves follower, calm planned follower, soon planned follower, calm wipe follower, soon wipe follower |
 
+    # Guards against the removal of a voter that is only cut off while another
+    # one is gone and a third one stops.
+    Examples: a split after a replacement
+      | size | seed  | order                                                                                                                        |
+      | 4    | 70787 | calm planned follower, calm unplanned follower, ready join_halves follower                                                   |
+      | 4    | 70193 | ready cut leader, soon halves all, ready planned follower, ready wipe follower, ready planned follower, ready join_halves follower |
+
     # Guards against a leader elected after a split that keeps the voter which
     # left during it for longer than the successor needs to catch up.
     Examples: a disk lost after a replacement in a split
