--- a/chivescale/relay/tests/steps/start_steps.py
+++ b/chivescale/relay/tests/steps/start_steps.py
@@ -40,6 +40,7 @@
         *,
         timeout_s,
         connect_timeout_s=0.5,
+        transfer_s=0.0,
     ):
         behaviour = self.behaviour[address]
         if behaviour == "lose packets":
