Identify callers by keys and limit workspaces over all hosts

Cause: the configuration's workspaces were passed over. Endpoints were told a fixed name, unknown and withdrawn keys were served, and no limit existed.

Change: entry hosts resolve the workspace from the digest of a caller's key at each statement; connections to endpoints belong to a workspace, and workspaces prefer few gateways. Coordinators own shares of each workspace's token bucket and borrow from each other; hosts ask for a token per operation.

--- a/chivescale/catalog/_model.py
+++ b/chivescale/catalog/_model.py
@@ -5,12 +5,17 @@
 
 import msgspec
 
+from chivescale.registry import Name
+
 # The ranges keep what is stored readable for others and usable in
 # calculations. They are checked by decoding.
 Version = typing.Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 Count = typing.Annotated[int, msgspec.Meta(ge=0, le=2**31 - 1)]
 DurationMs = typing.Annotated[float, msgspec.Meta(ge=0, le=2**53)]
 WholeMs = typing.Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+# Operations per second. JSON has neither NaN nor infinity.
+Rate = typing.Annotated[float, msgspec.Meta(gt=0, le=2**31 - 1)]
+Burst = typing.Annotated[float, msgspec.Meta(ge=0, le=2**31 - 1)]
 
 
 class Consistency(enum.StrEnum):
@@ -52,6 +57,8 @@
         highest.
     accepted_staleness_ms : float
         Maximum staleness that reads accept.
+    public : bool
+        Whether callers without a known key may use the route.
     """
 
     name: str
@@ -63,6 +70,31 @@
     latency_goal_ms: DurationMs
     priority: Count
     accepted_staleness_ms: DurationMs = 0.0
+    public: bool = False
+
+
+class Workspace(msgspec.Struct, frozen=True):
+    """A workspace, the keys of its callers and its limit.
+
+    Attributes
+    ----------
+    name : str
+        Name of the workspace, as endpoints are told it.
+    key_digests : tuple of bytes
+        Digests of the keys of its callers, see `key_digest`.
+    priority : int
+        Priority of the workspace; 0 is the highest.
+    rate_per_s : float or None
+        Operations per second on all hosts together; None means no limit.
+    burst : float
+        Operations above the rate that may run at once.
+    """
+
+    name: Name
+    key_digests: tuple[bytes, ...]
+    priority: Count = 0
+    rate_per_s: Rate | None = None
+    burst: Burst = 0.0
 
 
 class ServiceOptions(msgspec.Struct, frozen=True):
@@ -97,9 +129,12 @@
         All services.
     idle_transaction_ms : int
         Idle time after which a transaction is rolled back; 0 means no limit.
+    workspaces : tuple of Workspace or None
+        All workspaces; None if callers are not identified by keys.
     """
 
     version: Version
     routes: tuple[Route, ...]
     services: tuple[ServiceOptions, ...]
     idle_transaction_ms: WholeMs = 0
+    workspaces: tuple[Workspace, ...] | None = None
--- a/chivescale/catalog/_validate.py
+++ b/chivescale/catalog/_validate.py
@@ -1,6 +1,6 @@
 """Semantic validation of a configuration."""
 
-from chivescale.catalog._model import Catalog
+from chivescale.catalog._model import Catalog, Workspace
 from chivescale.errors import ErrorKind, Failure
 
 
@@ -34,6 +34,24 @@
         if key in seen_keys:
             return _invalid(f"{where}: duplicate database and prefix")
         seen_keys.add(key)
+    return _check_workspaces(catalog.workspaces or ())
+
+
+def _check_workspaces(workspaces: tuple[Workspace, ...]) -> Failure | None:
+    names: set[str] = set()
+    owners: dict[bytes, str] = {}
+    for index, workspace in enumerate(workspaces):
+        where = f"workspace {index} ({workspace.name})"
+        if workspace.name in names:
+            return _invalid(f"{where}: duplicate workspace name")
+        names.add(workspace.name)
+        for place, digest in enumerate(workspace.key_digests):
+            owner = owners.setdefault(digest, workspace.name)
+            if owner != workspace.name:
+                reason = f"key {place} also belongs to workspace {owner}"
+                return _invalid(f"{where}: {reason}")
+        if len(set(workspace.key_digests)) < len(workspace.key_digests):
+            return _invalid(f"{where}: duplicate key")
     return None
 
 
--- a/chivescale/coordinator/_host.py
+++ b/chivescale/coordinator/_host.py
@@ -16,6 +16,7 @@
 )
 from chivescale.catalog import Catalog, StoreResult
 from chivescale.clock import now
+from chivescale.coordinator._allowances import AllowanceManager
 from chivescale.coordinator._distributor import Distributor
 from chivescale.coordinator._group_monitor import GroupMonitor
 from chivescale.coordinator._leases import LeaseManager
@@ -47,8 +48,10 @@
     HttpResponse,
 )
 from chivescale.messages import (
+    AllowanceRequest,
     Empty,
     ErrorBody,
+    LoanRequest,
     ReachabilityReport,
     WatchRequest,
     decode,
@@ -99,6 +102,9 @@
         in its place. If not, entry hosts use a primary only under a lease.
     losses : int
         Number of coordinators that may be lost at a time, with their disks.
+    spare_operations : float
+        Operations of a workspace above its limit that are tolerated in any
+        window. Small limits are divided into usable shares by them.
     """
 
     name: str
@@ -109,6 +115,7 @@
     may_form: bool
     endpoints_fenced: bool = True
     losses: int = DEFAULT_LOSSES
+    spare_operations: float = 0.0
 
 
 class CoordinatorHost:
@@ -145,6 +152,7 @@
         self.agreement = self.new_agreement()
         self.distributor = Distributor(self)
         self.leases = LeaseManager(self)
+        self.allowances = AllowanceManager(self)
         self.promoter = Promoter(self, dialect, authority)
         self.membership = MembershipManager(self)
         self.group_monitor = GroupMonitor(self)
@@ -159,6 +167,8 @@
             "/v1/opinions": self._on_opinions,
             "/v1/lease": self._on_lease,
             "/v1/revoke": self._on_revoke,
+            "/v1/allowance": self._on_allowance,
+            "/v1/loan": self._on_loan,
             "/v1/store": self._on_store,
             "/v1/read": self._on_read,
             "/v1/status": self._on_status,
@@ -210,6 +220,7 @@
                 ("membership", self.membership),
                 ("distributor", self.distributor),
                 ("leases", self.leases),
+                ("allowances", self.allowances),
                 ("group_monitor", self.group_monitor),
             )
         ]
@@ -487,6 +498,18 @@
             return request
         return await self.leases.on_revoke(request)
 
+    async def _on_allowance(self, body: bytes):
+        request = decode(body, AllowanceRequest)
+        if is_failure(request):
+            return request
+        return await self.allowances.on_request(request)
+
+    async def _on_loan(self, body: bytes):
+        request = decode(body, LoanRequest)
+        if is_failure(request):
+            return request
+        return self.allowances.on_loan(request)
+
     async def _on_store(self, body: bytes):
         order = decode(body, StoreOrder)
         if is_failure(order):
--- a/chivescale/dialect/_types.py
+++ b/chivescale/dialect/_types.py
@@ -39,9 +39,21 @@
 
 
 class OpenSession(msgspec.Struct, frozen=True):
-    """Client message that opens a session on a database."""
+    """Client message that opens a session on a database.
+
+    Attributes
+    ----------
+    database : str
+        Name of the database.
+    key : bytes
+        Key that the client presents; it must not be logged.
+    """
 
     database: str
+    key: bytes = b""
+
+    def __repr__(self) -> str:
+        return f"OpenSession({self.database!r})"
 
 
 class Terminate(msgspec.Struct, frozen=True):
@@ -185,8 +197,14 @@
 
     max_message_bytes: int
 
-    def open(self, service: str, endpoint_id: str) -> bytes:
-        """Encode the opening message, which names the expected endpoint."""
+    def open(
+        self, service: str, endpoint_id: str, workspace: str = ""
+    ) -> bytes:
+        """Encode the opening message.
+
+        It names the expected endpoint and the workspace whose statements the
+        connection will run.
+        """
 
     def query(self, request_id: str, text: str) -> bytes:
         """Encode a statement; internal statements have an empty id."""
--- a/chivescale/gateway/__init__.py
+++ b/chivescale/gateway/__init__.py
@@ -17,7 +17,7 @@
     RunRequest,
     RunResponse,
 )
-from chivescale.gateway._plan import assign_gateways
+from chivescale.gateway._plan import affinity_ranks, assign_gateways
 
 __all__ = [
     "MAX_FRAME_BYTES",
@@ -31,5 +31,6 @@
     "RollbackRequest",
     "RunRequest",
     "RunResponse",
+    "affinity_ranks",
     "assign_gateways",
 ]
--- a/chivescale/gateway/_messages.py
+++ b/chivescale/gateway/_messages.py
@@ -52,6 +52,8 @@
     begun_age_s : float
         Time between the arrival of the begin and the sending of this
         message.
+    workspace : str
+        Workspace of the client; empty if clients are not identified.
     """
 
     number: int
@@ -75,6 +77,7 @@
     begins: bool = False
     read_only: bool = False
     begun_age_s: float = 0.0
+    workspace: str = ""
 
 
 class RollbackRequest(msgspec.Struct, frozen=True, tag="rollback"):
--- a/chivescale/gateway/_plan.py
+++ b/chivescale/gateway/_plan.py
@@ -32,6 +32,27 @@
     return max(services, key=lambda service: _rendezvous_weight(host, service))
 
 
+@functools.lru_cache(maxsize=16384)
+def affinity_ranks(
+    workspace: str, gateways: frozenset[str]
+) -> collections.abc.Mapping[str, int]:
+    """Rank the gateways of a zone for a workspace, the preferred one first.
+
+    A workspace that uses few gateways finds connections of its own there.
+    Adding or removing a gateway changes the order of the others for no
+    workspace.
+
+    Examples
+    --------
+    >>> sorted(affinity_ranks("mill", frozenset({"a", "b"})).values())
+    [0, 1]
+    """
+    order = sorted(
+        gateways, key=lambda host: _rendezvous_weight(host, workspace)
+    )
+    return {host: rank for rank, host in enumerate(order)}
+
+
 def assign_gateways(
     connections: collections.abc.Mapping[str, int],
     zones: collections.abc.Mapping[str, str],
--- a/chivescale/gateway/tests/gateway.feature
+++ b/chivescale/gateway/tests/gateway.feature
@@ -68,6 +68,19 @@
       | a near 0 failed, b far 3          | b       |
       | a near 0 failed                   | nothing |
 
+  # Guards against a new connection to an endpoint for each statement, where
+  # connections belong to workspaces.
+  Scenario: A workspace prefers few gateways
+    Given 4 gateways near and 4 far, all without load
+    Then each of 85 workspaces uses one near gateway
+    And no near gateway is preferred by more than 40 of them
+    And the end of a gateway moves only the workspaces that preferred it
+
+  Scenario: One workspace at several times its usual spreads over gateways
+    Given 4 gateways near and 4 far, all without load
+    When 40 statements of one workspace wait
+    Then each near gateway has 3 to 15 of them
+
   Scenario Outline: Zone partition: a host without coordinators asks gateways
     Given a host of zone near and gateways that answer <answers>
     Then the host <reaches> the service
--- a/chivescale/gateway/tests/steps/gateway_plan_steps.py
+++ b/chivescale/gateway/tests/steps/gateway_plan_steps.py
@@ -15,7 +15,7 @@
     Pong,
     assign_gateways,
 )
-from chivescale.messages import decode
+from chivescale.messages import EntryHostRecord, decode
 from chivescale.relay._forwarder import Forwarder
 
 SERVICES = ("ledger", "atelier", "creel", "slots")
@@ -205,3 +205,81 @@
             assert after[service] == names, service
         else:
             assert len(after[service] & names) == len(names) - 1, service
+
+
+class IdleGateway:
+    """Gateway that counts the statements that were sent to it."""
+
+    usable = True
+
+    def __init__(self, name: str, zone: str):
+        self.name, self.zone = name, zone
+        self.address = name
+        self.statements = 0
+
+    def load(self, time: float) -> int:
+        return self.statements
+
+
+@given("{near:d} gateways near and {far:d} far, all without load")
+def idle_gateways(context, near, far):
+    names = [(f"n{n}", "near") for n in range(near)]
+    names += [(f"f{n}", "far") for n in range(far)]
+    context.peers = {n: IdleGateway(n, zone) for n, zone in names}
+
+
+def forwarder_to(peers: dict[str, IdleGateway]) -> Forwarder:
+    forwarder = Forwarder("own", "near", None, random.Random(5))
+    forwarder.peers = dict(peers)
+    records = [
+        EntryHostRecord(p.name, p.zone, p.address) for p in peers.values()
+    ]
+    forwarder.update(records, {"ledger": frozenset(peers)})
+    return forwarder
+
+
+def preferred_by(peers, workspaces) -> dict[str, str]:
+    forwarder = forwarder_to(peers)
+    chosen = {}
+    for name in workspaces:
+        found = {
+            forwarder.choose_gateway("ledger", set(), name).name
+            for _ in range(10)
+        }
+        assert len(found) == 1, (name, found)
+        chosen[name] = found.pop()
+    return chosen
+
+
+@then("each of {count:d} workspaces uses one near gateway")
+def uses_one(context, count):
+    context.workspaces = [f"w{n}" for n in range(count)]
+    context.preferred = preferred_by(context.peers, context.workspaces)
+    assert all(n.startswith("n") for n in context.preferred.values())
+
+
+@then("no near gateway is preferred by more than {most:d} of them")
+def not_concentrated(context, most):
+    counts = collections.Counter(context.preferred.values())
+    assert len(counts) == 4 and max(counts.values()) <= most, counts
+
+
+@then("the end of a gateway moves only the workspaces that preferred it")
+def moves_own(context):
+    peers = {n: p for n, p in context.peers.items() if n != "n1"}
+    after = preferred_by(peers, context.workspaces)
+    for name, before in context.preferred.items():
+        assert (after[name] == before) == (before != "n1"), name
+
+
+@when("{count:d} statements of one workspace wait")
+def statements_of_one(context, count):
+    forwarder = forwarder_to(context.peers)
+    for _ in range(count):
+        forwarder.choose_gateway("ledger", set(), "w").statements += 1
+
+
+@then("each near gateway has {least:d} to {most:d} of them")
+def near_have(context, least, most):
+    near = [p.statements for p in context.peers.values() if p.zone == "near"]
+    assert least <= min(near) and max(near) <= most, near
--- a/chivescale/link/_link.py
+++ b/chivescale/link/_link.py
@@ -45,10 +45,13 @@
         Client session that last used the connection.
     used_at : float
         When the connection was last returned to its pool.
+    workspace : str
+        Workspace for which the connection was opened; empty if for none.
     """
 
-    def __init__(self, dialect: EndpointDialect):
+    def __init__(self, dialect: EndpointDialect, workspace: str = ""):
         self.dialect = dialect
+        self.workspace = workspace
         self.channel = LineChannel(
             self._on_line, self._on_disconnect, dialect.max_message_bytes
         )
@@ -171,6 +174,7 @@
     service: str,
     endpoint: str,
     timeout_s: float,
+    workspace: str = "",
 ) -> Link | Failure:
     """Connect to an endpoint and verify its identity.
 
@@ -180,7 +184,7 @@
         ``CONNECTION_REFUSED``, ``UNREACHABLE``, or the error that the
         endpoint returned. On failure no statement was sent.
     """
-    link = Link(dialect)
+    link = Link(dialect, workspace)
     host, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
     started = clock.now()
@@ -194,7 +198,7 @@
         return Failure(ErrorKind.UNREACHABLE, f"{address}: {err!r}")
     remaining_s = max(0.001, timeout_s - (clock.now() - started))
     replies = await link.exchange(
-        dialect.open(service, endpoint), 1, remaining_s
+        dialect.open(service, endpoint, workspace), 1, remaining_s
     )
     if is_failure(replies):
         link.abort()
--- a/chivescale/messages/__init__.py
+++ b/chivescale/messages/__init__.py
@@ -1,5 +1,11 @@
 """Typed messages exchanged between the processes of the system."""
 
+from chivescale.messages._allowance import (
+    AllowanceAnswer,
+    AllowanceRequest,
+    LoanAnswer,
+    LoanRequest,
+)
 from chivescale.messages._cluster import (
     AcceptSheet,
     Announcement,
@@ -67,6 +73,8 @@
     "EntryHostRecord",
     "AcceptSheet",
     "Accepted",
+    "AllowanceAnswer",
+    "AllowanceRequest",
     "Announcement",
     "Batch",
     "BeginTerm",
@@ -85,6 +93,8 @@
     "HeartbeatReply",
     "HostRecord",
     "Lease",
+    "LoanAnswer",
+    "LoanRequest",
     "LeaveEndpoint",
     "MemberStatus",
     "Position",
--- a/chivescale/relay/_endpoint.py
+++ b/chivescale/relay/_endpoint.py
@@ -26,6 +26,9 @@
 # Cost of a round trip to another zone, including its billed traffic, in terms
 # of queueing time.
 CROSS_ZONE_COST_S = 0.004
+# Cost of opening a connection for a workspace, which takes a slot of the
+# endpoint.
+CONNECT_COST_S = 0.012
 # Keeps capacity of the primary free for work that only it can do.
 PRIMARY_COST_FACTOR = 1.6
 # A replica that lacked the position of a read is avoided for about one more
@@ -117,7 +120,9 @@
         self.probe = can_connect
         self.pool = ConnectionPool(self._connect)
 
-    async def _connect(self, timeout_s: float) -> Link | Failure:
+    async def _connect(
+        self, timeout_s: float, workspace: str
+    ) -> Link | Failure:
         heartbeat = self.beat
         connection = await open_link(
             self.dialect,
@@ -125,6 +130,7 @@
             heartbeat.service,
             heartbeat.endpoint,
             timeout_s,
+            workspace,
         )
         if is_failure(connection):
             if connection.kind is ErrorKind.WRONG_ENDPOINT:
@@ -261,6 +267,7 @@
         min_position: Position | None,
         primary: bool,
         time: float,
+        workspace: str = "",
     ) -> float:
         """Return the estimated cost of a read on this endpoint."""
         waiting = self.in_flight + self.pool.waiting
@@ -268,6 +275,8 @@
         cost *= 1 + waiting / max(1, self.beat.slots)
         if self.beat.zone != zone:
             cost += CROSS_ZONE_COST_S
+        if workspace and not self.pool.has_idle(workspace):
+            cost += CONNECT_COST_S
         if primary:
             return cost * PRIMARY_COST_FACTOR
         behind = min_position is not None and (
@@ -356,7 +365,11 @@
         return 0.0
 
     def read_candidates(
-        self, min_position: Position | None, excluded: set[str], time: float
+        self,
+        min_position: Position | None,
+        excluded: set[str],
+        time: float,
+        workspace: str = "",
     ) -> list[Endpoint]:
         """Return the endpoints for a read, lowest cost first.
 
@@ -375,6 +388,7 @@
                     min_position,
                     self.primary == e.beat.endpoint,
                     time,
+                    workspace,
                 )
                 * self.rng.uniform(0.95, 1.05),
                 e.beat.endpoint,
--- a/chivescale/relay/_executor.py
+++ b/chivescale/relay/_executor.py
@@ -241,7 +241,9 @@
         def next_candidate() -> Endpoint | None:
             if len(excluded) >= MAX_ATTEMPTS or request.expired():
                 return None
-            endpoints = service.read_candidates(min_position, excluded, now())
+            endpoints = service.read_candidates(
+                min_position, excluded, now(), request.workspace
+            )
             return endpoints[0] if endpoints else None
 
         def start_attempt(endpoint: Endpoint):
@@ -361,7 +363,7 @@
                 ]
             else:
                 endpoints = service.read_candidates(
-                    min_position, excluded, now()
+                    min_position, excluded, now(), request.workspace
                 )
             if not endpoints:
                 break
@@ -541,6 +543,7 @@
             request.connection_wait_s(now()),
             request.values,
             request.session,
+            request.workspace,
         )
 
     async def _acquire_and_begin(
--- a/chivescale/relay/_forwarder.py
+++ b/chivescale/relay/_forwarder.py
@@ -7,7 +7,13 @@
 from chivescale.clock import now
 from chivescale.dialect import Reply
 from chivescale.errors import ErrorKind, Failure, is_failure
-from chivescale.gateway import GatewayClient, Pong, RunRequest, RunResponse
+from chivescale.gateway import (
+    GatewayClient,
+    Pong,
+    RunRequest,
+    RunResponse,
+    affinity_ranks,
+)
 from chivescale.messages import EntryHostRecord
 from chivescale.relay._executor import Executor
 from chivescale.relay._hedging import HedgedReads
@@ -44,6 +50,10 @@
 # A gateway in another zone is chosen only if a local one has at least about
 # this many more statements running or queued.
 CROSS_ZONE_LOAD_PENALTY = 6
+# A workspace uses its next gateway if the one before has at least about this
+# many more statements running or queued. A new connection to an endpoint takes
+# about as long as one statement.
+AFFINITY_LOAD_PENALTY = 3
 
 # A host that has lost the coordinators pings gateways of this many other
 # zones at a time, and this many of its own zone for each service.
@@ -77,6 +87,8 @@
     ----------
     gateways : dict of str to frozenset of str
         Names of the hosts connected to the endpoints of each service.
+    by_zone : dict of (str, str) to frozenset of str
+        The same by service and availability zone.
     peers : dict of str to GatewayClient
         Clients of other hosts by name.
     departed : list of GatewayClient
@@ -100,6 +112,7 @@
         self.local_executor = local_executor
         self.rng = rng
         self.gateways: dict[str, frozenset[str]] = {}
+        self.by_zone: dict[tuple[str, str], frozenset[str]] = {}
         self.peers: dict[str, GatewayClient] = {}
         self.departed: list[GatewayClient] = []
         self.unable_until: dict[tuple[str, str], float] = {}
@@ -127,6 +140,9 @@
             self.peers[name] = GatewayClient(
                 self.name, name, record.zone, record.address
             )
+        zones = {host.name: host.zone for host in records.values()}
+        zones[self.name] = self.zone
+        self.by_zone = _group_by_zone(gateways, zones)
         if gateways != self.gateways:
             self.gateways = gateways
             connected = [
@@ -150,14 +166,18 @@
         return not names or self.name in names
 
     def choose_gateway(
-        self, service: str, excluded: set[str]
+        self, service: str, excluded: set[str], workspace: str = ""
     ) -> GatewayClient | None:
-        """Return the least loaded gateway, preferring the own zone."""
+        """Return the least loaded gateway.
+
+        Those of the own zone and those that the workspace uses are preferred.
+        """
         time = now()
         costs = [
             (
                 peer.load(time)
                 + (0 if peer.zone == self.zone else CROSS_ZONE_LOAD_PENALTY)
+                + self._affinity_cost(service, peer, workspace)
                 + self.rng.random(),
                 name,
                 peer,
@@ -170,6 +190,15 @@
         ]
         return min(costs)[2] if costs else None
 
+    def _affinity_cost(
+        self, service: str, peer: GatewayClient, workspace: str
+    ) -> int:
+        if not workspace:
+            return 0
+        names = self.by_zone.get((service, peer.zone), frozenset())
+        ranks = affinity_ranks(workspace, names)
+        return AFFINITY_LOAD_PENALTY * ranks.get(peer.name, 0)
+
     async def can_reach(self, service: str) -> bool:
         """Return whether the primary or a gateway of a service responds."""
         if self.serves(service):
@@ -269,7 +298,7 @@
         failure = refusal or _no_gateway_failure(service)
         limit = MAX_OTHER_HOSTS if refusal else MAX_GATEWAYS
         while len(excluded) < limit and not request.expired():
-            peer = self.choose_gateway(service, excluded)
+            peer = self.choose_gateway(service, excluded, request.workspace)
             if peer is None:
                 break
             excluded.add(peer.name)
@@ -295,7 +324,7 @@
         def next_candidate() -> GatewayClient | None:
             if len(excluded) >= limit or request.expired():
                 return None
-            return self.choose_gateway(service, excluded)
+            return self.choose_gateway(service, excluded, request.workspace)
 
         def start_attempt(peer: GatewayClient):
             excluded.add(peer.name)
@@ -370,7 +399,7 @@
         excluded: set[str] = set()
         failure = _no_gateway_failure(service)
         while len(excluded) < MAX_GATEWAYS and not request.expired():
-            peer = self.choose_gateway(service, excluded)
+            peer = self.choose_gateway(service, excluded, request.workspace)
             if peer is None:
                 break
             excluded.add(peer.name)
@@ -419,6 +448,19 @@
     )
 
 
+def _group_by_zone(
+    gateways: collections.abc.Mapping[str, frozenset[str]],
+    zones: collections.abc.Mapping[str, str],
+) -> dict[tuple[str, str], frozenset[str]]:
+    """Return the gateways by service and zone."""
+    found: dict[tuple[str, str], set[str]] = {}
+    for service, names in gateways.items():
+        for name in names:
+            key = (service, zones.get(name, ""))
+            found.setdefault(key, set()).add(name)
+    return {key: frozenset(names) for key, names in found.items()}
+
+
 def _make_request(
     number: int,
     request: StatementRequest,
@@ -456,6 +498,7 @@
         begins=begins,
         read_only=transaction.read_only if transaction else False,
         begun_age_s=time - transaction.arrived_at if transaction else 0.0,
+        workspace=request.workspace,
     )
 
 
--- a/chivescale/relay/_gateway.py
+++ b/chivescale/relay/_gateway.py
@@ -342,4 +342,5 @@
         message.values,
         schedule,
         definition,
+        message.workspace,
     )
--- a/chivescale/relay/_host.py
+++ b/chivescale/relay/_host.py
@@ -8,10 +8,11 @@
 from chivescale.catalog import Catalog, Route
 from chivescale.clock import now
 from chivescale.dialect import CallerDialect, EndpointDialect
-from chivescale.errors import ErrorKind, Failure, is_failure
+from chivescale.errors import Failure, is_failure
 from chivescale.gateway import assign_gateways
 from chivescale.httpio import HttpClient
 from chivescale.messages import EndpointUpdate, EntryHostRecord
+from chivescale.relay._access import Access, AccessTable
 from chivescale.relay._coordinator_watcher import CoordinatorWatcher
 from chivescale.relay._drain import drain
 from chivescale.relay._endpoint import Endpoint, Service
@@ -19,6 +20,7 @@
 from chivescale.relay._forwarder import Forwarder
 from chivescale.relay._gateway import GatewayServer
 from chivescale.relay._isolation import IsolationMonitor
+from chivescale.relay._rate_limiter import RateLimiter
 from chivescale.relay._session import ClientSession
 from chivescale.relay._term_leases import TermLeases
 from chivescale.stopping import StopSchedule
@@ -39,6 +41,9 @@
 # while idle. After a power failure of hosts the endpoint still counts their
 # dead connections for seconds; the rest remains available for new ones.
 STANDING_FRACTION = 0.5
+# The same where connections belong to workspaces and cannot stand in for each
+# other, so that fewer statements have to open one.
+WORKSPACE_STANDING_FRACTION = 0.75
 # One of this many successful statements is logged.
 SUCCESS_LOG_INTERVAL = 200
 # After a start, clients wait this long for the first configuration. An
@@ -69,6 +74,9 @@
         Minimum number of connections per gateway to an endpoint. Fewer
         gateways share their connections better: the endpoint is then not
         full of dead ones after a power failure of all hosts.
+    min_workspace_gateway_connections : int
+        The same where connections belong to workspaces. Fewer gateways have
+        more of them idle for each workspace.
     endpoints_fenced : bool
         Whether an endpoint refuses writes as soon as another one was promoted
         in its place. If not, this host uses a primary only under a lease.
@@ -82,6 +90,7 @@
     gateway_address: str = ""
     min_direct_connections: int = 1
     min_gateway_connections: int = 5
+    min_workspace_gateway_connections: int = 10
     endpoints_fenced: bool = True
 
 
@@ -125,7 +134,7 @@
         self.endpoint_dialect = endpoint_dialect
         self.rng = rng
         self.catalog: Catalog | None = None
-        self.routes: dict[str, Route] = {}
+        self.access = AccessTable()
         self.max_connections: dict[str, int] = {}
         self.services: dict[str, Service] = {}
         self.by_id: dict[str, Endpoint] = {}
@@ -137,6 +146,7 @@
         )
         self.gateway = GatewayServer(self)
         self.follower = CoordinatorWatcher(self)
+        self.rate_limiter = RateLimiter(self)
         self.isolation_monitor = IsolationMonitor(self)
         self.server: asyncio.Server | None = None
         self.tasks: list[asyncio.Task] = []
@@ -222,6 +232,7 @@
         for session in list(self.sessions):
             session.close()
         self.gateway.close()
+        self.rate_limiter.close()
         self.executor.close()
         for task in self.tasks:
             task.cancel()
@@ -249,9 +260,7 @@
         ):
             return
         self.catalog = catalog
-        self.routes = {}
-        for route in catalog.routes:
-            self.routes.setdefault(route.database, route)
+        self.access = AccessTable(catalog)
         self.max_connections = {
             options.name: options.max_connections
             for options in catalog.services
@@ -262,6 +271,7 @@
             "catalog_in_force",
             version=catalog.version,
             routes=len(catalog.routes),
+            workspaces=len(self.access.callers.workspaces),
         )
 
     @property
@@ -269,16 +279,13 @@
         """Time after which an idle transaction is rolled back."""
         return self.catalog.idle_transaction_ms if self.catalog else 0
 
-    def find_route(self, database: str) -> Route | Failure:
-        """Return the route in force for a database."""
-        route = self.routes.get(database)
-        if route is not None:
-            return route
-        if self.catalog is None:
-            reason = "no configuration received yet"
-            return Failure(ErrorKind.NOT_READY, reason)
-        reason = f"no route for database {database}"
-        return Failure(ErrorKind.UNKNOWN_DATABASE, reason)
+    def resolve_access(self, database: str, digest: bytes) -> Access | Failure:
+        """Return what the client with a key may use on a database."""
+        return self.access.resolve(database, digest)
+
+    def identify(self, digest: bytes, route: Route) -> str | Failure:
+        """Return the workspace of the client with a key on a route."""
+        return self.access.callers.identify(digest, route)
 
     def service(self, name: str) -> Service:
         """Return a service, creating it if it does not exist."""
@@ -346,18 +353,28 @@
             },
             zones,
             self.settings.min_direct_connections,
-            self.settings.min_gateway_connections,
+            self._min_gateway_connections(),
         )
         self.executor.update(self.entry_hosts, gateways)
         for endpoint in self.by_id.values():
             self._update_pool_limits(endpoint)
 
+    def _min_gateway_connections(self) -> int:
+        if self.access.callers.identifies:
+            return self.settings.min_workspace_gateway_connections
+        return self.settings.min_gateway_connections
+
     def _update_pool_limits(self, endpoint: Endpoint) -> None:
         service = endpoint.beat.service
         hosts = len(self.executor.gateways.get(service, ())) or 1
         accepted = self.max_connections.get(service, 0)
         pool = endpoint.pool
-        pool.guaranteed, pool.limit = connection_shares(accepted, hosts)
+        standing = STANDING_FRACTION
+        if self.access.callers.identifies:
+            standing = WORKSPACE_STANDING_FRACTION
+        pool.guaranteed, pool.limit = connection_shares(
+            accepted, hosts, standing
+        )
 
     # Sessions.
 
@@ -408,7 +425,9 @@
     return max(1, accepted - RESERVED_CONNECTIONS)
 
 
-def connection_shares(accepted: int, hosts: int) -> tuple[int, int]:
+def connection_shares(
+    accepted: int, hosts: int, standing_fraction: float = STANDING_FRACTION
+) -> tuple[int, int]:
     """Divide the connections of an endpoint among hosts.
 
     Parameters
@@ -417,6 +436,8 @@
         Connections that the endpoint accepts.
     hosts : int
         Number of hosts connected to the endpoint.
+    standing_fraction : float
+        Fraction that all hosts together keep open while idle.
 
     Returns
     -------
@@ -425,7 +446,7 @@
         maximum number that it may hold.
     """
     available = _available_connections(accepted)
-    standing = max(1, int(available * STANDING_FRACTION) // hosts)
+    standing = max(1, int(available * standing_fraction) // hosts)
     even = max(1, available // hosts)
     largest = max(even, int(available * MAX_HOST_FRACTION))
     return standing, max(standing, min(largest, MAX_EVEN_SHARES * even))
--- a/chivescale/relay/_read_barrier.py
+++ b/chivescale/relay/_read_barrier.py
@@ -7,6 +7,7 @@
 from chivescale.errors import ErrorKind, Failure, is_failure
 from chivescale.messages import Position
 from chivescale.relay._endpoint import Endpoint, Service
+from chivescale.relay._pool import ANY_WORKSPACE
 from chivescale.relay._release import ConnectionReleaser
 from chivescale.relay._request import StatementRequest, failure_from
 from chivescale.relay._term_leases import TermLeases, Unleased
@@ -99,7 +100,7 @@
             now(), self.leases.current(service.name)
         )[:MAX_PRIMARIES_QUERIED]:
             connection = await endpoint.pool.acquire(
-                0, BARRIER_TIMEOUT_S, {}, None
+                0, BARRIER_TIMEOUT_S, {}, None, ANY_WORKSPACE
             )
             if is_failure(connection):
                 failure = connection
--- a/chivescale/relay/_request.py
+++ b/chivescale/relay/_request.py
@@ -32,6 +32,8 @@
         Whether the statement may write.
     definition : PreparedStatement or None
         Prepared statement to execute.
+    workspace : str
+        Workspace of the client; empty if clients are not identified.
     session : ClientSession or ForwardedSession
         Session that sent the statement.
     values : dict of str to str
@@ -62,6 +64,7 @@
     values: dict[str, str]
     schedule: StopSchedule
     definition: PreparedStatement | None = None
+    workspace: str = ""
     attempts: int = 0
     endpoint: str = ""
     gateway: str = ""
--- a/chivescale/relay/_session.py
+++ b/chivescale/relay/_session.py
@@ -3,7 +3,7 @@
 import asyncio
 import collections
 
-from chivescale.catalog import Route
+from chivescale.catalog import Route, key_digest
 from chivescale.clock import now
 from chivescale.dialect import (
     CallerDialect,
@@ -16,6 +16,7 @@
 from chivescale.errors import ErrorKind, Failure, is_failure
 from chivescale.lines import LineChannel
 from chivescale.messages import Position
+from chivescale.relay._access import Access
 from chivescale.relay._prepare import PreparedStatement
 from chivescale.relay._request import StatementRequest
 from chivescale.relay._transaction import Transaction
@@ -26,6 +27,7 @@
 # Limits on the memory used by one session.
 MAX_SESSION_VALUES = 200
 MAX_PREPARED_PER_SESSION = 1000
+BEGIN_KINDS = frozenset({StatementKind.BEGIN, StatementKind.BEGIN_READ_ONLY})
 # Statements that run on an endpoint.
 ENDPOINT_STATEMENT_KINDS = frozenset(
     {
@@ -50,6 +52,8 @@
     ----------
     database : str
         Database of the session; empty until the session is open.
+    key_digest : bytes
+        Digest of the key that the client presented.
     values : dict of str to str
         Session variables acknowledged to the client.
     prepared_statements : dict of str to PreparedStatement
@@ -68,6 +72,7 @@
         )
         self.opened_at = now()
         self.database = ""
+        self.key_digest = b""
         self.values: dict[str, str] = {}
         self.prepared_statements: dict[str, PreparedStatement] = {}
         self.positions: dict[str, Position] = {}
@@ -111,7 +116,8 @@
         match message:
             case Statement() if self.database:
                 self._enqueue(message)
-            case OpenSession(database) if not self.database:
+            case OpenSession(database, key) if not self.database:
+                self.key_digest = key_digest(key)
                 self._on_open_session(database)
             case Terminate():
                 self.channel.close()
@@ -142,13 +148,13 @@
         self.accept(database)
 
     def accept(self, database: str) -> None:
-        """Open the session, or refuse it if the database has no route."""
+        """Open the session, unless route or key are unknown."""
         if self.closed:
             return
-        route = self.host.find_route(database)
-        if is_failure(route):
-            self.host.record_refused_session(route)
-            self.channel.send(self.dialect.encode_failure(route, None))
+        access = self.host.resolve_access(database, self.key_digest)
+        if is_failure(access):
+            self.host.record_refused_session(access)
+            self.channel.send(self.dialect.encode_failure(access, None))
             self.close()
             return
         self.database = database
@@ -193,18 +199,18 @@
             return await self._run(statement, arrived_at)
         if kind is StatementKind.COMMIT:
             return await self._commit(statement, arrived_at)
-        failure = self._handle_locally(statement, arrived_at)
+        failure = None
+        if kind in BEGIN_KINDS:
+            failure = await self._begin(statement, arrived_at)
+        else:
+            failure = self._handle_locally(statement)
         if failure is not None:
             return self.dialect.encode_failure(failure, self.state)
         return self.dialect.encode_done(self.state)
 
-    def _handle_locally(
-        self, statement: Statement, arrived_at: float
-    ) -> Failure | None:
+    def _handle_locally(self, statement: Statement) -> Failure | None:
         """Handle a statement that does not need an endpoint."""
         match statement.kind:
-            case StatementKind.BEGIN | StatementKind.BEGIN_READ_ONLY:
-                return self._begin(statement, arrived_at)
             case StatementKind.ROLLBACK:
                 return self._roll_back()
             case StatementKind.SET:
@@ -216,18 +222,23 @@
                     return _unknown_statement_failure(statement.name)
         return None
 
-    def _begin(self, statement, arrived_at: float) -> Failure | None:
+    async def _begin(self, statement, arrived_at: float) -> Failure | None:
         if self.transaction is not None:
             reason = "a transaction is already open"
             return Failure(ErrorKind.BAD_REQUEST, reason)
         refusal = self.host.schedule.refuse_begin(now())
         if refusal is not None:
             return refusal
-        route = self.host.find_route(self.database)
-        if is_failure(route):
-            return route
+        access = self.host.resolve_access(self.database, self.key_digest)
+        if is_failure(access):
+            return access
+        refusal = await self.host.rate_limiter.admit(access.workspace)
+        if refusal is not None:
+            return refusal
         read_only = statement.kind is StatementKind.BEGIN_READ_ONLY
-        self.transaction = Transaction(route, read_only, arrived_at)
+        self.transaction = Transaction(
+            access.route, read_only, arrived_at, access.workspace
+        )
         return None
 
     def _roll_back(self) -> Failure | None:
@@ -273,7 +284,11 @@
         return self.dialect.encode_failure(failure, self.state)
 
     def _make_request(
-        self, statement: Statement, route: Route, arrived_at: float
+        self,
+        statement: Statement,
+        route: Route,
+        workspace: str,
+        arrived_at: float,
     ) -> StatementRequest | Failure:
         definition = None
         writes = statement.kind is StatementKind.WRITE
@@ -291,20 +306,43 @@
             self.values,
             self.host.schedule,
             definition,
+            workspace,
         )
 
-    async def _run(self, statement: Statement, arrived_at: float) -> bytes:
+    def _resolve_access(self) -> Access | Failure:
+        """Return the route and the workspace of the next statement.
+
+        A transaction keeps its route, but ends with the key of its client.
+        """
         transaction = self.transaction
-        route = transaction.route if transaction else None
-        if route is None:
-            route = self.host.find_route(self.database)
-        request = (
-            route
-            if is_failure(route)
-            else self._make_request(statement, route, arrived_at)
+        if transaction is None:
+            return self.host.resolve_access(self.database, self.key_digest)
+        workspace = self.host.identify(self.key_digest, transaction.route)
+        if workspace == transaction.workspace:
+            return Access(transaction.route, workspace)
+        reason = "the key of the session was withdrawn"
+        return Failure(ErrorKind.TRANSACTION_ABORTED, reason)
+
+    async def _admit(
+        self, statement: Statement, arrived_at: float
+    ) -> StatementRequest | Failure:
+        """Return the request of a statement, unless it must not run."""
+        access = self._resolve_access()
+        if is_failure(access):
+            return access
+        request = self._make_request(
+            statement, access.route, access.workspace, arrived_at
         )
-        if not is_failure(request):
-            request = self._refuse_if_stopping(request) or request
+        if is_failure(request):
+            return request
+        refusal = self._refuse_if_stopping(request)
+        if refusal is None and self.transaction is None:
+            refusal = await self.host.rate_limiter.admit(access.workspace)
+        return refusal or request
+
+    async def _run(self, statement: Statement, arrived_at: float) -> bytes:
+        transaction = self.transaction
+        request = await self._admit(statement, arrived_at)
         if is_failure(request):
             outcome = request
             if transaction is not None:
@@ -317,6 +355,7 @@
                 self.host.executor.abandon(transaction)
         else:
             outcome = await self.host.executor.run_single(request)
+            self.host.rate_limiter.settle(request, outcome)
         return self._finish_statement(statement, arrived_at, outcome, request)
 
     def _refuse_if_stopping(self, request) -> Failure | None:
@@ -332,7 +371,15 @@
             reason = "no transaction is open"
             failure = Failure(ErrorKind.BAD_REQUEST, reason)
             return self.dialect.encode_failure(failure, self.state)
-        request = self._make_request(statement, transaction.route, arrived_at)
+        access = self._resolve_access()
+        if is_failure(access):
+            self._release_transaction()
+            return self._finish_statement(
+                statement, arrived_at, access, access
+            )
+        request = self._make_request(
+            statement, access.route, access.workspace, arrived_at
+        )
         outcome = self._refuse_if_stopping(request)
         if outcome is None:
             outcome = await self.host.executor.commit(transaction, request)
@@ -371,6 +418,8 @@
     def _release_transaction(self) -> None:
         transaction, self.transaction = self.transaction, None
         if transaction is not None:
+            if not transaction.reached_endpoint:
+                self.host.rate_limiter.refund(transaction.workspace)
             self.host.executor.abandon(transaction)
 
     def _on_disconnect(self, reason: str) -> None:
--- a/chivescale/relay/_transaction.py
+++ b/chivescale/relay/_transaction.py
@@ -22,6 +22,8 @@
         Whether the client began it as read-only.
     arrived_at : float
         Time at which the begin arrived.
+    workspace : str
+        Workspace of the client; empty if clients are not identified.
     service, endpoint, connection : Service, Endpoint, Link, or None
         Where the transaction runs. Set by the first statement that needs an
         endpoint.
@@ -46,6 +48,7 @@
     route: Route
     read_only: bool
     arrived_at: float
+    workspace: str = ""
     service: Service | None = None
     endpoint: Endpoint | None = None
     connection: Link | None = None
@@ -69,6 +72,11 @@
         self.endpoint, self.connection = endpoint, connection
         self.epoch = epoch
 
+    @property
+    def reached_endpoint(self) -> bool:
+        """Whether a statement may have reached an endpoint."""
+        return self.endpoint is not None or bool(self.gateway_transaction_id)
+
     def take_failure(self) -> Failure:
         """Return the failure of the next statement after a rollback.
 
--- a/chivescale/relay/tests/load.feature
+++ b/chivescale/relay/tests/load.feature
@@ -35,6 +35,25 @@
     When a statement waits for at most 50 ms
     Then it fails as overloaded and the connection is not lost
 
+  # Guards against a statement that runs on a connection which the endpoint
+  # counts for another workspace, and against workspaces that wait for good.
+  Scenario Outline: Connections of workspaces
+    Given a pool of <limit> connections that holds <held>
+    When statements of <waiting> wait
+    And connections are returned after <ms> ms each
+    Then they run on connections of their own in the order <order>
+    And <opened> connections were opened
+
+    Examples: idle ones of others make room; after 30 ms one in use does too
+      | limit | held                | waiting             | ms | order               | opened |
+      | 2     | nothing             | mill, loom          | 1  | mill, loom          | 2      |
+      | 2     | idle mill           | mill, loom          | 1  | mill, loom          | 1      |
+      | 2     | idle mill, idle oak | loom                | 1  | loom                | 1      |
+      | 1     | idle mill           | loom, mill          | 1  | loom, mill          | 2      |
+      | 1     | lent mill           | mill, mill, mill    | 5  | mill, mill, mill    | 0      |
+      | 1     | lent mill           | loom, mill, mill    | 1  | mill, mill, loom    | 1      |
+      | 1     | lent mill           | loom, mill, mill    | 40 | loom, mill, mill    | 2      |
+
   Scenario: An endpoint at its connection limit
     Given a pool that may open 4 connections of which the endpoint accepts 2
     When 4 statements request a connection at once
--- a/chivescale/relay/tests/steps/load_steps.py
+++ b/chivescale/relay/tests/steps/load_steps.py
@@ -26,7 +26,8 @@
 class FakeConnection:
     """Connection that records whether it was closed."""
 
-    def __init__(self):
+    def __init__(self, workspace=""):
+        self.workspace = workspace
         self.usable = True
         self.values: dict[str, str] = {}
         self.last_session = None
@@ -170,7 +171,7 @@
 
 @given("a pool with 1 connection that is in use")
 def pool_lent(context):
-    async def refuse(timeout_s):
+    async def refuse(timeout_s, workspace):
         return Failure(ErrorKind.ENDPOINT_FULL, "full")
 
     context.pool = ConnectionPool(refuse)
@@ -221,11 +222,72 @@
     assert context.pool.idle == [context.connection] and context.pool.lent == 0
 
 
+@given("a pool of {limit:d} connections that holds {held}")
+def pool_of_workspaces(context, limit, held):
+    context.opened = []
+
+    async def connect(timeout_s, workspace):
+        context.opened.append(workspace)
+        await asyncio.sleep(0)
+        return FakeConnection(workspace)
+
+    context.pool = ConnectionPool(connect)
+    context.pool.limit = limit
+    context.lent = []
+    for part in held.split(", "):
+        state, _, workspace = part.partition(" ")
+        if state == "idle":
+            context.pool.idle.append(FakeConnection(workspace))
+        elif state == "lent":
+            context.pool.lent += 1
+            context.lent.append(FakeConnection(workspace))
+
+
+@when("statements of {waiting} wait")
+def workspaces_wait(context, waiting):
+    context.waiting = waiting.split(", ")
+
+
+@when("connections are returned after {ms:d} ms each")
+def returned_each(context, ms):
+    order = []
+
+    async def use(workspace):
+        connection = await context.pool.acquire(1, 5.0, {}, None, workspace)
+        assert not is_failure(connection), connection
+        order.append((workspace, connection.workspace))
+        await asyncio.sleep(ms / 1000)
+        context.pool.release(connection)
+
+    async def work():
+        tasks = [asyncio.ensure_future(use(w)) for w in context.waiting]
+        await asyncio.sleep(ms / 1000)
+        for connection in context.lent:
+            context.pool.release(connection)
+        await asyncio.gather(*tasks)
+
+    asyncio.run(work())
+    context.order = order
+
+
+@then("they run on connections of their own in the order {order}")
+def own_connections(context, order):
+    assert all(w == own for w, own in context.order), context.order
+    assert ", ".join(w for w, _ in context.order) == order, context.order
+
+
+@then("{count:d} connections were opened")
+def count_opened(context, count):
+    assert len(context.opened) == count, context.opened
+    assert context.pool.lent == context.pool.opening == 0
+    assert context.pool.held <= context.pool.limit
+
+
 @given("a pool that may open 4 connections of which the endpoint accepts 2")
 def pool_limited(context):
     context.attempts = 0
 
-    async def connect(timeout_s):
+    async def connect(timeout_s, workspace):
         context.attempts += 1
         accepted = context.attempts <= 2
         await asyncio.sleep(0)
@@ -303,7 +365,7 @@
 def unreachable(context):
     context.attempts = 0
 
-    async def connect(timeout_s):
+    async def connect(timeout_s, workspace):
         context.attempts += 1
         return Failure(ErrorKind.CONNECTION_REFUSED, "refused")
 
