Let reads use the oldest position that their staleness allows

Cause: a read that accepts 1.5 s of staleness asked for the newest confirmed position.

Change: confirmed positions are kept every 50 ms for 5 s; a read asks for the oldest one within nine tenths of its accepted staleness. A position covers the commits acknowledged before its statement was sent, so the bound holds.

--- a/chivescale/relay/_freshness.py
+++ b/chivescale/relay/_freshness.py
@@ -1,7 +1,17 @@
 """Log position that contains every commit up to a point in time."""
 
+import collections
+
 from chivescale.messages import Position
 
+# Confirmed positions are kept at this interval, for as long as reads accept
+# them; older ones are rarely of use.
+SAMPLE_INTERVAL_S = 0.05
+MAX_SAMPLES = 100
+# Part of the accepted staleness that is used. The rest covers the time between
+# the sending of a read and its arrival.
+STALENESS_FRACTION = 0.9
+
 
 class ConfirmedPosition:
     """Newest position confirmed by a primary.
@@ -20,13 +30,19 @@
         Confirmed position.
     sent_at : float
         Time at which the confirming statement was sent.
+    samples : deque of (float, Position)
+        Earlier confirmed positions with the times at which the confirming
+        statements were sent, oldest first.
     """
 
-    __slots__ = ("position", "sent_at")
+    __slots__ = ("position", "samples", "sent_at")
 
     def __init__(self):
         self.position: Position | None = None
         self.sent_at = 0.0
+        self.samples: collections.deque[tuple[float, Position]] = (
+            collections.deque(maxlen=MAX_SAMPLES)
+        )
 
     def record(self, position: Position | None, sent_at: float) -> None:
         """Record the position from a reply of the primary."""
@@ -34,6 +50,32 @@
             return
         if self.position is None or sent_at > self.sent_at:
             self.position, self.sent_at = position, sent_at
+            if (
+                not self.samples
+                or sent_at - self.samples[-1][0] >= SAMPLE_INTERVAL_S
+            ):
+                self.samples.append((sent_at, position))
+
+    def oldest_for(
+        self, arrived_at: float, staleness_s: float
+    ) -> tuple[float, Position]:
+        """Return the oldest confirmed position that suffices for a read.
+
+        A position covers the commits acknowledged before its confirming
+        statement was sent, so one that is at most as old as the accepted
+        staleness suffices. A replica that lags may hold it already, which
+        saves the primary the read.
+
+        Returns
+        -------
+        tuple of (float, Position)
+            Time at which the confirming statement was sent, and the position.
+        """
+        since = arrived_at - staleness_s * STALENESS_FRACTION
+        for sent_at, position in self.samples:
+            if sent_at >= since:
+                return sent_at, position
+        return self.sent_at, self.position
 
     def age_s(self, now: float) -> float:
         """Return the age of the confirmation."""
--- a/chivescale/relay/_read_barrier.py
+++ b/chivescale/relay/_read_barrier.py
@@ -63,8 +63,8 @@
                 )
         elif confirmed.age_s(arrived_at) > REFRESH_FRACTION * staleness_s:
             self.start_confirmation(service)
-        request.proof_age_s = confirmed.age_s(arrived_at)
-        min_position = confirmed.position
+        sent_at, min_position = confirmed.oldest_for(arrived_at, staleness_s)
+        request.proof_age_s = arrived_at - sent_at
         session_position = request.session.positions.get(service.name)
         if (
             route.consistency is Consistency.SESSION
--- a/chivescale/relay/tests/load.feature
+++ b/chivescale/relay/tests/load.feature
@@ -3,6 +3,24 @@
   statements delayed by others, statements that wait for an unreachable
   endpoint, and clients that stay on an isolated host. No network.
 
+  # Replicas that lag: guards against reads that all need the primary although
+  # their route accepts an older position, and against one that is too old.
+  Scenario Outline: The position that an accepted staleness allows
+    Given positions 3.10, 3.20, 3.30 and 4.5 confirmed 3000, 1300, 700 and 20 ms ago
+    Then a position for <staleness> ms of staleness is <need>
+
+    Examples:
+      | staleness | need |
+      | 0         | 4.5  |
+      | 20        | 4.5  |
+      | 500       | 4.5  |
+      | 770       | 4.5  |
+      | 800       | 3.30 |
+      | 1500      | 3.20 |
+      | 3200      | 3.20 |
+      | 3400      | 3.10 |
+      | 9000      | 3.10 |
+
   Scenario Outline: The endpoint for a read
     Given endpoints <endpoints>
     Then a read that needs position <need> goes to <choice>
--- a/chivescale/relay/tests/steps/load_steps.py
+++ b/chivescale/relay/tests/steps/load_steps.py
@@ -585,3 +585,28 @@
     # Floating point: compare with a margin of 0.1 ms.
     covers = context.confirmed.covers(context.now - 1e-4, staleness / 1000)
     assert covers == (verdict == "may"), context.now
+
+
+@given(
+    "positions 3.10, 3.20, 3.30 and 4.5 confirmed 3000, 1300, 700 and 20 ms"
+    " ago"
+)
+def confirmed_before(context):
+    context.confirmed = ConfirmedPosition()
+    for term, number, ago_ms in (
+        (3, 10, 3000),
+        (3, 20, 1300),
+        (3, 30, 700),
+        (4, 5, 20),
+    ):
+        context.confirmed.record(
+            Position(term, number), LONG_AGO_S - ago_ms / 1000
+        )
+
+
+@then("a position for {staleness:d} ms of staleness is {need}")
+def staleness_needs(context, staleness, need):
+    sent_at, found = context.confirmed.oldest_for(LONG_AGO_S, staleness / 1000)
+    assert f"{found.term}.{found.position}" == need, found
+    newest = sent_at == context.confirmed.sent_at
+    assert newest or LONG_AGO_S - sent_at <= staleness / 1000, sent_at
