Decide by measured times how many reads leave their zone

Cause: the way to another zone counted as a constant of 4 ms, which one running statement at home outweighs, so reads crossed zones while endpoints at home had free slots.

Change: ZoneShare compares the times to an answer at home and abroad and moves the share of reads that may leave in bounded steps; an endpoint at home that is overloaded, lagging or the primary does not keep reads.

--- a/chivescale/relay/_endpoint.py
+++ b/chivescale/relay/_endpoint.py
@@ -15,7 +15,8 @@
 from chivescale.registry import EndpointBeat
 from chivescale.relay._freshness import ConfirmedPosition
 from chivescale.relay._pool import ConnectionPool
-from chivescale.telemetry import log_event
+from chivescale.routing import ZoneShare
+from chivescale.telemetry import COUNTERS, log_event
 
 # Expected latency of an endpoint without recent measurements.
 BASE_LATENCY_S = 0.015
@@ -23,6 +24,8 @@
 LATENCY_EWMA_WEIGHT = 0.3
 # The influence of the average halves in this time without measurements.
 LATENCY_HALF_LIFE_S = 1.0
+# Change of the share of reads that leave the zone at which it is logged.
+LOGGED_SHARE_CHANGE = 0.1
 # Cost of a round trip to another zone, including its billed traffic, in terms
 # of queueing time.
 CROSS_ZONE_COST_S = 0.004
@@ -279,12 +282,16 @@
             cost += CONNECT_COST_S
         if primary:
             return cost * PRIMARY_COST_FACTOR
+        if self.lags_behind(min_position, time):
+            cost += LAG_BACKOFF_S * 4
+        return cost
+
+    def lags_behind(self, min_position: Position | None, time: float) -> bool:
+        """Return whether it lacked a position a moment ago."""
         behind = min_position is not None and (
             self.position is None or self.position < min_position
         )
-        if behind and time < self.lagging_until:
-            cost += LAG_BACKOFF_S * 4
-        return cost
+        return behind and time < self.lagging_until
 
 
 class Service:
@@ -298,6 +305,8 @@
         Newest position confirmed by a primary.
     primary : str
         Endpoint last confirmed as primary; empty if unknown.
+    zone_share : ZoneShare
+        Share of the reads for which endpoints of other zones compete.
     """
 
     def __init__(self, name: str, zone: str, rng: random.Random):
@@ -308,6 +317,8 @@
         self.confirmed = ConfirmedPosition()
         self.primary = ""
         self.primary_confirmed_at = 0.0
+        self.zone_share = ZoneShare()
+        self.logged_share = 0.0
 
     def record_primary(
         self, endpoint: Endpoint, position: Position | None, sent_at: float
@@ -373,7 +384,8 @@
     ) -> list[Endpoint]:
         """Return the endpoints for a read, lowest cost first.
 
-        Draining endpoints are excluded.
+        Draining endpoints are excluded, and those of other zones for the
+        first attempt of a read that stays in its zone.
         """
         usable = [
             e
@@ -381,6 +393,8 @@
             if e.usable(time) and e.beat.endpoint not in excluded
         ]
         staying = [e for e in usable if not e.beat.draining]
+        if not excluded:
+            staying = self._stay_in_zone(staying, min_position, time)
         costs = [
             (
                 e.read_cost_s(
@@ -397,3 +411,48 @@
             for e in staying
         ]
         return [e for _, _, e in sorted(costs)]
+
+    def _stay_in_zone(
+        self,
+        endpoints: list[Endpoint],
+        min_position: Position | None,
+        time: float,
+    ) -> list[Endpoint]:
+        """Leave out other zones unless the read may leave its zone.
+
+        The primary is no reason to stay, because it has work that only it
+        can do, nor is a replica that lags, is far too slow or has as much
+        work of this host as it runs at once.
+        """
+        near = [
+            e
+            for e in endpoints
+            if e.beat.zone == self.zone
+            and e.beat.endpoint != self.primary
+            and not e.lags_behind(min_position, time)
+            and e.in_flight + e.pool.waiting < max(1, e.beat.slots)
+            and not self.zone_share.overloaded(e.expected_latency_s(time))
+        ]
+        leaves = self.zone_share.leaves(self.rng.random(), time)
+        return near if near and not leaves else endpoints
+
+    def record_read(
+        self, endpoint: Endpoint, seconds: float, time: float
+    ) -> None:
+        """Record the time from sending a read to its answer."""
+        zone = endpoint.beat.zone
+        COUNTERS.count("zone_reads", f"{self.zone}>{zone}")
+        if endpoint.beat.endpoint == self.primary:
+            return
+        share = self.zone_share
+        share.record(zone != self.zone, seconds, time)
+        if abs(share.share - self.logged_share) >= LOGGED_SHARE_CHANGE:
+            self.logged_share = share.share
+            log_event(
+                "zone_share",
+                service=self.name,
+                zone=self.zone,
+                share=share.share,
+                home_s=share.home_s,
+                away_s=share.away_s,
+            )
--- a/chivescale/relay/_executor.py
+++ b/chivescale/relay/_executor.py
@@ -253,7 +253,8 @@
             request.attempts += 1
             expected_s = endpoint.expected_latency_s(now())
             delay_s = HEDGE_DELAY_S + HEDGE_LATENCY_FACTOR * expected_s
-            return self._read_once(endpoint, request, min_position), delay_s
+            attempt = self._read_once(service, endpoint, request, min_position)
+            return attempt, delay_s
 
         async def on_exhausted(failure: Failure) -> Failure | None:
             nonlocal rounds
@@ -276,10 +277,12 @@
 
     async def _read_once(
         self,
+        service: Service,
         endpoint: Endpoint,
         request: StatementRequest,
         min_position: Position,
     ) -> Outcome:
+        started = now()
         connection = await self._acquire(endpoint, request)
         if is_failure(connection):
             return connection
@@ -291,8 +294,11 @@
             endpoint, connection, request, after=min_position
         )
         self.releaser.release(endpoint, connection)
-        if is_failure(outcome) and outcome.kind is ErrorKind.ENDPOINT_BEHIND:
-            endpoint.lagging_until = now() + LAG_BACKOFF_S
+        time = now()
+        if not is_failure(outcome):
+            service.record_read(endpoint, time - started, time)
+        elif outcome.kind is ErrorKind.ENDPOINT_BEHIND:
+            endpoint.lagging_until = time + LAG_BACKOFF_S
         return outcome
 
     # Transactions.
--- a/chivescale/relay/_host.py
+++ b/chivescale/relay/_host.py
@@ -41,9 +41,6 @@
 # while idle. After a power failure of hosts the endpoint still counts their
 # dead connections for seconds; the rest remains available for new ones.
 STANDING_FRACTION = 0.5
-# The same where connections belong to workspaces and cannot stand in for each
-# other, so that fewer statements have to open one.
-WORKSPACE_STANDING_FRACTION = 0.75
 # One of this many successful statements is logged.
 SUCCESS_LOG_INTERVAL = 200
 # After a start, clients wait this long for the first configuration. An
@@ -369,12 +366,7 @@
         hosts = len(self.executor.gateways.get(service, ())) or 1
         accepted = self.max_connections.get(service, 0)
         pool = endpoint.pool
-        standing = STANDING_FRACTION
-        if self.access.callers.identifies:
-            standing = WORKSPACE_STANDING_FRACTION
-        pool.guaranteed, pool.limit = connection_shares(
-            accepted, hosts, standing
-        )
+        pool.guaranteed, pool.limit = connection_shares(accepted, hosts)
 
     # Sessions.
 
@@ -425,9 +417,7 @@
     return max(1, accepted - RESERVED_CONNECTIONS)
 
 
-def connection_shares(
-    accepted: int, hosts: int, standing_fraction: float = STANDING_FRACTION
-) -> tuple[int, int]:
+def connection_shares(accepted: int, hosts: int) -> tuple[int, int]:
     """Divide the connections of an endpoint among hosts.
 
     Parameters
@@ -436,8 +426,6 @@
         Connections that the endpoint accepts.
     hosts : int
         Number of hosts connected to the endpoint.
-    standing_fraction : float
-        Fraction that all hosts together keep open while idle.
 
     Returns
     -------
@@ -446,7 +434,7 @@
         maximum number that it may hold.
     """
     available = _available_connections(accepted)
-    standing = max(1, int(available * standing_fraction) // hosts)
+    standing = max(1, int(available * STANDING_FRACTION) // hosts)
     even = max(1, available // hosts)
     largest = max(even, int(available * MAX_HOST_FRACTION))
     return standing, max(standing, min(largest, MAX_EVEN_SHARES * even))
--- a/chivescale/routing/__init__.py
+++ b/chivescale/routing/__init__.py
@@ -14,6 +14,7 @@
     may_commit,
     transaction_modes,
 )
+from chivescale.routing._zone_share import ZoneShare
 
 __all__ = [
     "Candidate",
@@ -23,6 +24,7 @@
     "SessionState",
     "StatementClass",
     "TransactionModes",
+    "ZoneShare",
     "choose_endpoint",
     "classify",
     "local_answer",
