Forget the tokens and refusals of removed workspaces

Cause: a host kept a record for each workspace that it had ever served.

Change: a new configuration drops the records of workspaces that it lacks.

--- a/chivescale/limits/_token_stock.py
+++ b/chivescale/limits/_token_stock.py
@@ -1,6 +1,7 @@
 """Tokens of the rate limits that one host holds for a short time."""
 
 import collections
+import collections.abc
 
 # Tokens that were not used within this time expire. Limits count operations
 # in windows of seconds, which this shifts by a twentieth.
@@ -120,7 +121,7 @@
         debts, self.debts = dict(self.debts), collections.Counter()
         return debts
 
-    def keep_only(self, workspaces: set[str]) -> None:
+    def keep_only(self, workspaces: collections.abc.Collection[str]) -> None:
         """Forget other workspaces."""
         for name in [n for n in self.uses if n not in workspaces]:
             del self.uses[name]
--- a/chivescale/relay/_host.py
+++ b/chivescale/relay/_host.py
@@ -258,6 +258,7 @@
             return
         self.catalog = catalog
         self.access = AccessTable(catalog)
+        self.rate_limiter.forget_removed()
         self.max_connections = {
             options.name: options.max_connections
             for options in catalog.services
--- a/chivescale/relay/_rate_limiter.py
+++ b/chivescale/relay/_rate_limiter.py
@@ -51,6 +51,16 @@
         self.silent_until: dict[str, float] = {}
         self.last_contact_at = now()
 
+    def forget_removed(self) -> None:
+        """Forget the workspaces that a new configuration does not have."""
+        names = self.host.access.callers.workspaces.keys()
+        self.stock.keep_only(names)
+        self.refused_until = {
+            name: until
+            for name, until in self.refused_until.items()
+            if name in names
+        }
+
     def _is_limited(self, name: str) -> bool:
         workspace = self.host.access.callers.workspaces.get(name)
         return workspace is not None and workspace.rate_per_s is not None
