Check a configuration before it is sent

Cause: a sheet or document was known to be valid or not, but not whether an entry can ever match, whether limits contradict each other or what changes.

--- a/chivescale/catalog/__init__.py
+++ b/chivescale/catalog/__init__.py
@@ -1,5 +1,11 @@
 """Configuration of routes and services."""
 
+from chivescale.catalog._advice import (
+    CatalogChange,
+    CatalogWarning,
+    compare_catalogs,
+    find_warnings,
+)
 from chivescale.catalog._callers import CallerIndex, key_digest
 from chivescale.catalog._model import (
     Burst,
@@ -21,7 +27,9 @@
     "Burst",
     "CallerIndex",
     "Catalog",
+    "CatalogChange",
     "CatalogState",
+    "CatalogWarning",
     "Consistency",
     "Count",
     "DurationMs",
@@ -32,6 +40,8 @@
     "Version",
     "WholeMs",
     "Workspace",
+    "compare_catalogs",
+    "find_warnings",
     "key_digest",
     "validate_catalog",
 ]
--- a/chivescale/cli/_main.py
+++ b/chivescale/cli/_main.py
@@ -122,6 +122,19 @@
 def _add_sheet(sheet) -> None:
     check = _add_command(sheet, "check", "check a file", _sheet.check)
     check.add_argument("file", metavar="FILE")
+    check.add_argument(
+        "--strict", action="store_true", help="refuse a sheet with warnings"
+    )
+    former = check.add_mutually_exclusive_group()
+    former.add_argument(
+        "--old", metavar="FILE", help="also show what differs from this file"
+    )
+    former.add_argument(
+        "--in-force",
+        action="store_true",
+        help="also show what differs from the sheet in force",
+    )
+    add_access_options(check)
     compare = _add_command(
         sheet,
         "diff",
--- a/chivescale/cli/_sheet.py
+++ b/chivescale/cli/_sheet.py
@@ -20,6 +20,7 @@
     check_sheet,
     diff,
     digest,
+    find_warnings,
     format_sheet,
     make_sheet,
 )
@@ -28,10 +29,27 @@
 POLL_INTERVAL_S = 0.1
 
 
-def check(options: argparse.Namespace) -> Report:
-    """Check a sheet file without a running system."""
+async def check(options: argparse.Namespace) -> Report:
+    """Check a sheet file; a running system is needed for `--in-force` only.
+
+    Warnings do not refuse the sheet unless `--strict` is given.
+    """
     sheet = _load_sheet(options.file)
-    return sheet if isinstance(sheet, Report) else _describe(sheet)
+    if isinstance(sheet, Report):
+        return sheet
+    report = _describe(sheet)
+    if options.old is not None or options.in_force:
+        compared = await compare(options)
+        if compared.code != ExitCode.OK:
+            return compared
+        report.data |= compared.data
+        report.lines += ["", *compared.lines]
+    warnings = find_warnings(sheet)
+    report.data["warnings"] = warnings
+    report.lines += [str(warning) for warning in warnings]
+    if warnings and options.strict:
+        report.code = ExitCode.REFUSED
+    return report
 
 
 async def compare(options: argparse.Namespace) -> Report:
--- a/chivescale/cli/tests/cli.feature
+++ b/chivescale/cli/tests/cli.feature
@@ -14,6 +14,15 @@
       | sheet check good.csv --json               | 0    | "workspace_count": 1  |
       | sheet check bad.csv                       | 1    | bad.csv: row 3 column secret_hash |
       | sheet check bad.csv --json                | 1    | "column": "secret_hash" |
+      | sheet check odd.csv                       | 0    | contradiction: workspace mill-1: max_concurrent 9 is never reached with max_connections 4 |
+      | sheet check odd.csv                       | 0    | unused: service creel: no workspace is bound to it |
+      | sheet check odd.csv --json                | 0    | "kind": "unused"      |
+      | sheet check odd.csv --strict              | 1    | unused: service creel |
+      | sheet check good.csv --strict             | 0    | workspaces  1         |
+      | sheet check good.csv --old other.csv      | 0    | max_rate: 7.0 -> 0.0  |
+      | sheet check good.csv --old bad.csv        | 1    | bad.csv: row 3        |
+      | sheet check good.csv --in-force           | 2    | give --settings       |
+      | sheet check good.csv --in-force {access}  | 3    | unreachable           |
       | sheet check none.csv                      | 2    | none.csv: No such file |
       | sheet diff good.csv --old good.csv        | 0    | no changes            |
       | sheet diff good.csv --old other.csv       | 0    | max_rate: 7.0 -> 0.0  |
--- a/chivescale/cli/tests/steps/cli_steps.py
+++ b/chivescale/cli/tests/steps/cli_steps.py
@@ -28,6 +28,7 @@
     f"workspace,mill-1,,{'a' * 40},,,,,,\nbinding,mill-1,ledger,,,,,,,\n"
 )
 OTHER = GOOD.replace("a,,,,,,", "a,,,,,7,")
+ODD = GOOD.replace("a,,,,,,", "a,,,4,9,,") + "service,creel,,,,,,,,3\n"
 BAD = GOOD.replace("aaaa", "zaaa", 1)
 SETTINGS = """
 [host]
@@ -43,6 +44,7 @@
 FILES = {
     "good.csv": GOOD,
     "other.csv": OTHER,
+    "odd.csv": ODD,
     "bad.csv": BAD,
     "good.toml": SETTINGS,
     "copy.toml": SETTINGS,
--- a/chivescale/sheet/__init__.py
+++ b/chivescale/sheet/__init__.py
@@ -1,5 +1,6 @@
 """The sheet: a CSV file with the complete desired state."""
 
+from chivescale.sheet._advice import SheetWarning, find_warnings
 from chivescale.sheet._diff import Change, diff
 from chivescale.sheet._format import format_sheet
 from chivescale.sheet._model import (
@@ -23,9 +24,11 @@
     "Change",
     "Defect",
     "Sheet",
+    "SheetWarning",
     "check_sheet",
     "diff",
     "digest",
+    "find_warnings",
     "format_sheet",
     "make_sheet",
     "parse_sheet",
