Commit before and after a change of the schema in the stand-in

Cause: callers saw every later write to a service fail with 1205 after its wait, once a connection without autocommit had run a CREATE TABLE and rested. MySQL commits a change of the schema implicitly, before and after it; the stand-in kept the transaction and its write lock. The proxy was not at fault: it asks the connection after each statement whether a transaction is open.

Change: the stand-in appends what was written before, runs the statement in its own transaction and releases the lock. Temporary tables commit nothing.

--- a/chivescale_standin/_sql.py
+++ b/chivescale_standin/_sql.py
@@ -24,6 +24,7 @@
     r"\s*SELECT\s+SLEEP\s*\(\s*(\d+(?:\.\d*)?)\s*\)\s*;?\s*", re.IGNORECASE
 )
 _SERVER_UUID = re.compile(r"\s*SELECT\s+@@server_uuid\s*;?\s*", re.IGNORECASE)
+_TEMPORARY = re.compile(r"\s*(?:CREATE|DROP)\s+TEMPORARY\b", re.IGNORECASE)
 _AUTOCOMMIT = re.compile(
     r"\s*SET\s+(?:SESSION\s+|@@(?:session\.)?)?AUTOCOMMIT\s*=\s*(\w+)",
     re.IGNORECASE,
@@ -244,6 +245,11 @@
         data = session.data
         if not self.group.is_primary() or self.holder is not session:
             return READ_ONLY
+        commits = statement.schema and not _TEMPORARY.match(statement.text)
+        if commits:
+            # A change of the schema commits before and after it.
+            self._append_writes(session)
+            data.open = False
         if not data.writing:
             self.store.begin()
             data.writing = True
@@ -270,21 +276,27 @@
 
     def _commit(self, session) -> Position | Failure | None:
         """Commit data and log entry; None if nothing was written."""
+        if session.data.writing and not self.group.is_primary():
+            self._finish(session)
+            return READ_ONLY
+        commit = self._append_writes(session)
+        self._finish(session)
+        return commit
+
+    def _append_writes(self, session) -> Position | None:
+        """Append what the transaction has written and keep its locks."""
         data = session.data
+        if not data.writing:
+            return None
         commit = None
-        if data.writing:
-            if not self.group.is_primary():
-                self._finish(session)
-                return READ_ONLY
+        if data.statements:
             term = self.group.promised_term
-            if data.statements:
-                commit = self.store.append(term, tuple(data.statements))
-            else:
-                self.store.rollback()
-            data.writing = False
-        self._finish(session)
-        if commit is not None:
+            commit = self.store.append(term, tuple(data.statements))
             self.group.notify()
+        else:
+            self.store.rollback()
+        data.writing = False
+        data.statements = []
         return commit
 
     def _savepoint(self, session, statement: Statement):
--- a/chivescale_standin/tests/sql.feature
+++ b/chivescale_standin/tests/sql.feature
@@ -56,6 +56,19 @@
     Given a primary with table items
     Then without autocommit rows appear at COMMIT
 
+  # Guards against a connection without autocommit that keeps the write lock
+  # after a change of the schema, so that no other one can write.
+  Scenario Outline: A change of the schema commits before and after it
+    Given a primary with table items
+    When a connection without autocommit runs "<statements>" and rests
+    Then another connection can write, and sees the rows <rows>
+
+    Examples:
+      | statements                                             | rows |
+      | CREATE TABLE a (id INT)                                | nothing |
+      | INSERT INTO items (name) VALUES ('x'); CREATE TABLE b (id INT) | x |
+      | INSERT INTO items (name) VALUES ('x'); DROP TABLE none | x    |
+
   Scenario: A second writer waits, then gives up
     Given a primary with table items
     Then a second writer gets error 1205 while the first transaction is open
--- a/chivescale_standin/tests/steps/sql_steps.py
+++ b/chivescale_standin/tests/steps/sql_steps.py
@@ -141,6 +141,27 @@
     connection.close()
 
 
+@when('a connection without autocommit runs "{statements}" and rests')
+def rests_without_autocommit(context, statements):
+    context.resting = context.group.driver(0)
+    context.add_cleanup(context.resting.close)
+    context.resting.autocommit(False)
+    for statement in statements.split("; "):
+        try:
+            context.resting.cursor().execute(statement)
+        except pymysql.Error:
+            # Dropping an unknown table fails, after its implicit commit.
+            assert statement == "DROP TABLE none", statement
+
+
+@then("another connection can write, and sees the rows {rows}")
+def another_can_write(context, rows):
+    names = [row[1].decode() for row in context.group.rows(0, "items")]
+    assert (",".join(names) or "nothing") == rows, names
+    outcome = context.group.sql(0, _insert("other"))
+    assert not is_failure(outcome), outcome
+
+
 @then(
     "a second writer gets error {errno:d} while the first transaction is open"
 )
