Ask coordinators that answered before those that were silent

The watcher's own search made the order change all the time.

Change: silent coordinators come last for 4 s, five are asked, and while the watcher searches the one that answered last comes first. Without any answer a host may run one operation of a workspace that it served a moment ago.

--- a/chivescale/coordinator/_allowances.py
+++ b/chivescale/coordinator/_allowances.py
@@ -25,7 +25,7 @@
 # share of this coordinator are refused without asking the others.
 LOAN_INTERVAL_S = 0.1
 # A coordinator that did not answer is not asked for this time.
-UNREACHABLE_BACKOFF_S = 1.0
+UNREACHABLE_BACKOFF_S = 3.0
 CONFIGURE_INTERVAL_S = 0.25
 # Interval at which refusals are logged, and workspaces named in one line.
 LOG_INTERVAL_S = 2.0
--- a/chivescale/limits/_token_stock.py
+++ b/chivescale/limits/_token_stock.py
@@ -105,7 +105,10 @@
             return False
         if last_contact_at > use.alone_until - ALONE_S:
             use.alone_until = last_contact_at + ALONE_S
-            use.alone_tokens = use.rate_per_s * ALONE_S
+            # A host that runs few operations of a workspace may run one.
+            recent = time - use.seen_at < RATE_WINDOW_S + ALONE_S
+            least = 1.0 if use.rate_per_s and recent else 0.0
+            use.alone_tokens = max(least, use.rate_per_s * ALONE_S)
         if use.alone_tokens < 1.0:
             return False
         use.alone_tokens -= 1.0
--- a/chivescale/limits/tests/rate_shares.feature
+++ b/chivescale/limits/tests/rate_shares.feature
@@ -69,6 +69,12 @@
       | 200 | 2     |
       | 260 | 0     |
 
+  # Guards against refusals of every workspace that a host serves rarely.
+  Scenario: A host that ran one operation and whose coordinators are gone
+    Given a host that ran 1 operations per second for 1 s
+    When no coordinator answers for 100 ms
+    Then it runs 1 operations without asking
+
   Scenario Outline: A host whose coordinators are gone
     Given a host that ran 10 operations per second for 4 s
     When no coordinator answers for <ms> ms
--- a/chivescale/relay/_rate_limiter.py
+++ b/chivescale/relay/_rate_limiter.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import collections.abc
 
 from chivescale.clock import now
 from chivescale.errors import ErrorKind, Failure, is_failure
@@ -10,18 +11,43 @@
 from chivescale.relay._request import Outcome, StatementRequest
 from chivescale.telemetry import COUNTERS, log_decision
 
-# A coordinator may borrow from others before it answers.
-REQUEST_TIMEOUT_S = 0.35
+# A coordinator may borrow from others, twice, before it answers.
+REQUEST_TIMEOUT_S = 0.3
 CONNECT_TIMEOUT_S = 0.1
-# Coordinators that are asked one after the other.
-MAX_COORDINATORS_ASKED = 3
-# A coordinator that did not answer is asked last for this time.
-SILENT_BACKOFF_S = 1.0
+# Coordinators that are asked one after the other; half of a group may be cut
+# off.
+MAX_COORDINATORS_ASKED = 5
+# A coordinator that did not answer is asked last for this time. All operations
+# of limited workspaces wait for each attempt, and a cut lasts for seconds.
+SILENT_BACKOFF_S = 4.0
 # A refused workspace is not asked for again sooner than this, so that a
 # caller far above its limit does not cost a request per operation.
 MIN_REFUSAL_S = 0.02
 
 
+def order_coordinators(
+    known: collections.abc.Sequence[str],
+    first: str,
+    silent_until: collections.abc.Mapping[str, float],
+    time: float,
+) -> list[str]:
+    """Return coordinators in the order in which they are asked.
+
+    Those that were silent a moment ago come last, otherwise `first` comes
+    first and the others follow it in turn.
+
+    Examples
+    --------
+    >>> order_coordinators(["a", "b", "c"], "b", {}, 1.0)
+    ['b', 'c', 'a']
+    >>> order_coordinators(["a", "b", "c"], "b", {"b": 3.0}, 1.0)
+    ['c', 'a', 'b']
+    """
+    start = known.index(first) if first in known else 0
+    order = [*known[start:], *known[:start]]
+    return sorted(order, key=lambda a: silent_until.get(a, 0.0) > time)
+
+
 class RateLimiter:
     """Asks coordinators for tokens and keeps them for a short time.
 
@@ -49,6 +75,7 @@
         self.waiting: dict[str, collections.deque[asyncio.Future]] = {}
         self.sender: asyncio.Task | None = None
         self.silent_until: dict[str, float] = {}
+        self.last_answering = ""
         self.last_contact_at = now()
 
     def forget_removed(self) -> None:
@@ -138,19 +165,19 @@
             )
             if not is_failure(answer):
                 self.last_contact_at = now()
+                self.last_answering = address
                 return answer
             self.silent_until[address] = now() + SILENT_BACKOFF_S
         return answer
 
     def _coordinators(self) -> list[str]:
-        """Return the coordinators, the watched one first, silent ones last."""
         follower = self.host.follower
-        start = follower.current_index % len(follower.coordinators)
-        order = follower.coordinators[start:] + follower.coordinators[:start]
-        time = now()
-        return sorted(
-            order, key=lambda a: self.silent_until.get(a, 0.0) > time
-        )
+        known = follower.coordinators
+        first = known[follower.current_index % len(known)]
+        if not follower.connected:
+            # The watcher tries one after the other meanwhile.
+            first = self.last_answering
+        return order_coordinators(known, first, self.silent_until, now())
 
     def _apply(self, needed: dict[str, int], answer: AllowanceAnswer) -> None:
         time = now()
