--- a/review/harness_2/system.py
+++ b/review/harness_2/system.py
@@ -341,9 +341,10 @@
     record("case", folder=folder.name, trouble=trouble)
     try:
         broken = run(record, trouble)
-    except CannotRunError as err:
-        record("cannot_run", reason=err)
-        print(f"cannot run: {err}")
+    except Exception as err:
+        # An error of the case itself says nothing about the rule either.
+        record("cannot_run", reason=repr(err))
+        print(f"cannot run: {err!r}")
         sys.exit(2)
     result = "broken" if broken else "held"
     record("result", rule=result)
