--- a/review/6/case.py
+++ b/review/6/case.py
@@ -12,9 +12,10 @@
     Caller,
     Databases,
     Platform,
+    configure,
     make_config,
 )
-from harness_2.system import CannotRunError, System, call, main  # noqa: E402
+from harness_2.system import System, main  # noqa: E402
 
 START_LIMIT_S = 20.0
 # Share of the day before the disruption; the rest is undisturbed.
@@ -49,7 +50,8 @@
         for machine in system.machines:
             machine.start()
         await databases.start()
-        await configure(cores, fronts, system)
+        config = make_config(1)
+        await configure(system, cores, fronts, config, START_LIMIT_S)
         answers: list[tuple[float, str, str]] = []
         for front in fronts:
             for database in WRITE_EVERY:
@@ -70,33 +72,6 @@
         system.close()
 
 
-async def configure(cores, fronts, system) -> None:
-    """Send the configuration and wait until the machines are ready."""
-    loop = asyncio.get_running_loop()
-    until = time.monotonic() + START_LIMIT_S
-    ready = False
-    while not ready:
-        if time.monotonic() > until:
-            raise CannotRunError("the system does not start")
-        await asyncio.sleep(0.1)
-        status, _ = await loop.run_in_executor(
-            None,
-            call,
-            cores[0].control,
-            "POST",
-            "/v1/config/put",
-            make_config(1),
-        )
-        ready = status == 200
-        for front in fronts:
-            address = f"{front.address}:{system.ports['ready']}"
-            status, _ = await loop.run_in_executor(
-                None, call, address, "GET", "/v1/ready"
-            )
-            ready = ready and status == 200
-    await asyncio.sleep(2.0)
-
-
 async def request(caller: Caller, answers, record) -> None:
     """Send one request after the other."""
     started = time.monotonic()
