--- a/review/6/case.py
+++ b/review/6/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import os
 import pathlib
 import sys
 import time
@@ -124,4 +125,5 @@
 
 
 if __name__ == "__main__":
-    main(run)
+    # TROUBLE=0 does the same without the disruption.
+    main(run, os.environ.get("TROUBLE", "1") != "0")
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -140,4 +140,5 @@
 
 
 if __name__ == "__main__":
-    main(run)
+    # TROUBLE=0 does the same without the disruption.
+    main(run, os.environ.get("TROUBLE", "1") != "0")
--- a/review/harness_2/system.py
+++ b/review/harness_2/system.py
@@ -326,7 +326,7 @@
         time.sleep(0.02)
 
 
-def main(run) -> None:
+def main(run, trouble: bool) -> None:
     """Run a case and exit: 1 if the rule was broken, 0 if not, 2 if unable.
 
     Parameters
@@ -334,10 +334,11 @@
     run : callable
         Takes the record and whether the disruption happens; returns whether
         the rule was broken.
+    trouble : bool
+        Whether the disruption happens.
     """
     folder = pathlib.Path(sys.argv[0]).resolve().parent
     record = Record(folder / "record.txt")
-    trouble = os.environ.get("TROUBLE", "1") != "0"
     record("case", folder=folder.name, trouble=trouble)
     try:
         broken = run(record, trouble)
