Demote a primary only when another endpoint leads a higher term

Callers saw every request of a service refused, reads included, after its primary had restarted: a control host had demoted the only primary.

Cause: where endpoints are fenced, the endpoint of the latest promotion in the log was taken for the primary, and every other endpoint that claimed to lead was sent a demotion with a term above its own. The log only shows that a promotion was agreed on. Its order may never have been executed (no answer of the platform, another leading control host before the order is sent), or its endpoint has restarted under another identifier.

Change: several endpoints that claim to be the primary are asked for their state, and those of a lower term than the newest one that leads are sent this term. An endpoint that is promoted meanwhile has a higher term and ignores it, so no order of events demotes the only primary this way. Where endpoints are not fenced the log decides as before: hosts write only under leases on its endpoint. primary_demoted logs the term that was sent.

--- a/chivescale/coordinator/_promoter.py
+++ b/chivescale/coordinator/_promoter.py
@@ -152,24 +152,64 @@
         One that everybody had lost when its successor was promoted serves on
         when it is reachable again.
         """
-        epoch = self.host.leases.epoch(service)
         watched = self.watched.get(service)
-        if not epoch.index or (
-            watched is not None and watched.replacement is not None
-        ):
+        if watched is not None and watched.replacement is not None:
             return
-        time = now()
-        for entry in self.host.registry.service_endpoints(service):
-            name = entry.heartbeat.endpoint
-            last = self.demoted_at.get(name, -math.inf)
-            if (
-                entry.primary_since
-                and name != epoch.endpoint
-                and time - last >= DEMOTION_INTERVAL_S
-            ):
-                self.demoted_at[name] = time
+        claimants = self._primary_claimants(service)
+        if not self.host.leases.enabled:
+            if len(claimants) > 1 and self._demotion_due(service):
+                self.host.run_in_background(
+                    self._demote_superseded(service, claimants)
+                )
+            return
+        epoch = self.host.leases.epoch(service)
+        for name in claimants if epoch.index else ():
+            if name != epoch.endpoint and self._demotion_due(name):
                 self.host.run_in_background(self._demote(service, name))
 
+    def _primary_claimants(self, service: str) -> list[str]:
+        """Return the endpoints that report to be the primary."""
+        return [
+            entry.heartbeat.endpoint
+            for entry in self.host.registry.service_endpoints(service)
+            if entry.primary_since
+        ]
+
+    def _demotion_due(self, name: str) -> bool:
+        """Return whether demotions may be sent again, and record that."""
+        time = now()
+        due = time - self.demoted_at.get(name, -math.inf) >= (
+            DEMOTION_INTERVAL_S
+        )
+        if due:
+            self.demoted_at[name] = time
+        return due
+
+    async def _demote_superseded(
+        self, service: str, claimants: list[str]
+    ) -> None:
+        """Demote the primaries of lower terms than the newest one.
+
+        A promotion in the log does not show that another endpoint leads: its
+        order may not have been executed, or its endpoint may have restarted
+        under another identifier. Only an endpoint that itself reports to lead
+        a higher term does. Its term is sent, so that an endpoint that was
+        promoted meanwhile ignores the order.
+        """
+        text = self.dialect.state_text()
+        states = await asyncio.gather(
+            *(self._query_state(name, text) for name in claimants)
+        )
+        terms = {
+            name: state.term
+            for name, state in zip(claimants, states, strict=True)
+            if state is not None and state.primary
+        }
+        newest = max(terms.values(), default=0)
+        for name, term in terms.items():
+            if term < newest:
+                await self._send_demotion(service, name, newest)
+
     def _service_names(self) -> list[str]:
         catalog = self.host.state.catalog.catalog
         return [s.name for s in catalog.services] if catalog else []
@@ -621,19 +661,27 @@
     async def _demote(self, service: str, endpoint: str) -> bool:
         """Demote an endpoint; return whether it is not a primary."""
         state = await self._query_state(endpoint, self.dialect.state_text())
-        link = self.links.get(endpoint)
-        if state is None or link is None:
+        if state is None:
             return False
         if not state.primary:
             return True
-        text = self.dialect.demote_text(state.term + 1)
+        return await self._send_demotion(service, endpoint, state.term + 1)
+
+    async def _send_demotion(
+        self, service: str, endpoint: str, term: int
+    ) -> bool:
+        """Demote a primary of a term below `term`; return whether it did."""
+        link = await self._open_link(endpoint)
+        if is_failure(link):
+            return False
+        text = self.dialect.demote_text(term)
         reply = await link.statement(text, STATE_TIMEOUT_S)
         refusal = None if is_failure(reply) else reply.refusal
         log_event(
             "primary_demoted",
             service=service,
             endpoint=endpoint,
-            term=state.term,
+            below_term=term,
             outcome=(
                 reply.reason
                 if is_failure(reply)
