Replace a primary that answers that it does not lead

Callers saw every request of a service refused until an operator acted, once its only primary had been demoted or a successor had crashed after the former primary was demoted and another control host led.

Cause: a refused transaction counts as an answer of the probed endpoint, so its detector finds it alive, and an endpoint that is watched keeps the service from being treated as one without a primary. How long it has not led was only recorded where endpoints are not fenced, and a single unanswered probe began that time anew.

Change: an endpoint that has answered for TAKEOVER_TIMEOUT_S that it does not lead is replaced with fenced endpoints as well, while nobody else claims to lead. It may be its own successor, and then is not demoted after the order: without that the row with the most advanced replica fails, the endpoint is demoted as soon as it leads. The guard holds for endpoints that are not fenced too, where the same order was given.

--- a/chivescale/coordinator/_promoter.py
+++ b/chivescale/coordinator/_promoter.py
@@ -55,7 +55,8 @@
     Attributes
     ----------
     not_primary_since : float or None
-        Time since which the endpoint answers that it is not the primary.
+        When the endpoint answered that it is not the primary; None if it has
+        answered as the primary since.
     """
 
     service: str
@@ -292,7 +293,8 @@
             return True
         since = watched.not_primary_since
         if since is not None and now() - since > TAKEOVER_TIMEOUT_S:
-            # Its promotion was agreed on but perhaps never ordered.
+            # Nobody else claims to be the primary either, or the log names
+            # an endpoint whose promotion was perhaps never ordered.
             return True
         return verdict is Verdict.DEAD or entry.heartbeat.draining
 
@@ -335,10 +337,10 @@
                 watched.detector.record_failure(True, now())
             else:
                 watched.detector.record_failure(False, now())
-            if self.host.leases.enabled and outcome is False:
-                watched.not_primary_since = watched.not_primary_since or now()
-            else:
+            if outcome is True:
                 watched.not_primary_since = None
+            elif outcome is False:
+                watched.not_primary_since = watched.not_primary_since or now()
             pause = PROBE_INTERVAL_S
             if is_failure(outcome):
                 log_event(
@@ -427,7 +429,8 @@
         )
         if outcome is not OrderOutcome.ACCEPTED:
             return False
-        if not dead or self.host.leases.enabled:
+        former_may_lead = not dead or self.host.leases.enabled
+        if former_may_lead and new_primary != watched.endpoint:
             demotion = self._demote_primary(watched)
             _, taken_over = await asyncio.gather(
                 demotion, self._await_takeover(new_primary)
