Reject an unanswered promotion once the primary serves again

Callers of a service without synchronous replicas lost commits that were acknowledged after an outage: a primary that crashed or was dark for a moment served again, and an order given meanwhile replaced it seconds later.

Cause: an order without an answer may still be executed. A primary that restarted ended its replacement without any word about that order; one that was only dark was ordered away in the next attempt although it served.

Change: after an order without an answer the control host asks the endpoint that claims to lead. If it answers as the primary, its own promotion is ordered. That changes nothing for it, and the platform rejects the earlier order, whose token is lower, from then on. Otherwise the replacement goes on as before.

--- a/chivescale/coordinator/_promoter.py
+++ b/chivescale/coordinator/_promoter.py
@@ -57,6 +57,8 @@
     not_primary_since : float or None
         When the endpoint answered that it is not the primary; None if it has
         answered as the primary since.
+    order_unanswered : bool
+        Whether an order got no answer and may be executed later.
     """
 
     service: str
@@ -66,6 +68,7 @@
     prober: asyncio.Task | None = None
     replacement: asyncio.Task | None = None
     not_primary_since: float | None = None
+    order_unanswered: bool = False
 
 
 class Promoter:
@@ -395,9 +398,12 @@
 
     async def _replace_once(self, watched: WatchedPrimary, dead: bool) -> bool:
         service = watched.service
-        if await self._is_replaced(watched):
+        confirmed = ""
+        if watched.order_unanswered and not self.host.leases.enabled:
+            confirmed = await self._leading_endpoint(watched)
+        if not confirmed and await self._is_replaced(watched):
             return True
-        new_primary = await self._choose_successor(watched, dead)
+        new_primary = confirmed or await self._choose_successor(watched, dead)
         if is_failure(new_primary):
             log_event(
                 "no_successor",
@@ -428,7 +434,10 @@
             outcome=outcome.name.lower(),
         )
         if outcome is not OrderOutcome.ACCEPTED:
+            watched.order_unanswered |= outcome is OrderOutcome.UNKNOWN
             return False
+        # Orders with lower tokens are rejected from now on.
+        watched.order_unanswered = False
         former_may_lead = not dead or self.host.leases.enabled
         if former_may_lead and new_primary != watched.endpoint:
             demotion = self._demote_primary(watched)
@@ -453,6 +462,25 @@
             return await self._check_primary(heartbeat.endpoint) is True
         return changed
 
+    async def _leading_endpoint(self, watched: WatchedPrimary) -> str:
+        """Return the endpoint that leads after an order without an answer.
+
+        It may be the former primary that answers again. Ordering its
+        promotion changes nothing, but the earlier order is rejected from
+        then on: executed later, it would discard what the primary has
+        committed since.
+
+        Returns
+        -------
+        str
+            Identifier of the endpoint; empty if none answers as the primary.
+        """
+        current = self._find_primary(watched.service)
+        if current is None:
+            return ""
+        name = current.heartbeat.endpoint
+        return name if await self._check_primary(name) is True else ""
+
     async def _is_latest_order(self, service: str, token: int) -> bool:
         """Return whether no later promotion of the service was agreed on.
 
