Finish the replacement of a log that a crash interrupted

Operators saw a control host that never came back after a planned restart ("entry 501 does not follow the previous entry"), and no quorum once another host had to be replaced.

Where they conflict with it, the next start discarded the appended entries without a word, acknowledged ones among them.

The replacement is one rename, so a crash in it leaves the same state for the next start, and no start appends to any other log.

--- a/chivescale/agreement/_durable.py
+++ b/chivescale/agreement/_durable.py
@@ -82,12 +82,23 @@
                 self.close()
                 return content.error
             self.incarnation = content.incarnation
+            recovered = content.recovered()
+            if content.replacement_interrupted:
+                # Otherwise entries after the snapshot would be appended to
+                # entries that they do not follow, and the next start would
+                # refuse or discard them.
+                self._replace_log(
+                    recovered.snapshot,
+                    recovered.hard_state,
+                    recovered.entries,
+                )
+                content.torn_bytes = 0
             self._open_file(content)
         except OSError as err:
             self.close()
             reason = f"{self.folder}: {err}"
             return self._record_failure(ErrorKind.STORAGE_FAILED, reason)
-        return content.recovered()
+        return recovered
 
     def append(
         self, hard_state: HardState | None, entries: tuple[Entry, ...]
@@ -117,8 +128,7 @@
         def replace_files() -> None:
             snapshot_file = SnapshotFile(self.incarnation, snapshot)
             self._replace_file(SNAPSHOT_NAME, snapshot_file)
-            header = LogHeader(self.incarnation, snapshot.index)
-            self._replace_file(LOG_NAME, header, Batch(hard_state, entries))
+            self._replace_log(snapshot, hard_state, entries)
             former, self.file = self.file, None
             os.close(former)
             self.file = self._open_for_append()
@@ -175,6 +185,16 @@
         self._replace_file(LOG_NAME, header)
         return read_folder(self.folder)
 
+    def _replace_log(
+        self,
+        snapshot: Snapshot,
+        hard_state: HardState,
+        entries: tuple[Entry, ...],
+    ) -> None:
+        """Replace the log by one that begins after a stored snapshot."""
+        header = LogHeader(self.incarnation, snapshot.index)
+        self._replace_file(LOG_NAME, header, Batch(hard_state, entries))
+
     def _open_file(self, content: FolderContent) -> None:
         self.file = self._open_for_append()
         if content.torn_bytes:
--- a/chivescale/agreement/_folder.py
+++ b/chivescale/agreement/_folder.py
@@ -52,9 +52,16 @@
 
 
 class FolderContent(msgspec.Struct):
-    """Data read from a folder, up to the first error."""
+    """Data read from a folder, up to the first error.
+
+    Attributes
+    ----------
+    base_index : int
+        Index that the first entry of the log file follows.
+    """
 
     incarnation: str = ""
+    base_index: int = 0
     first_members: tuple[str, ...] = ()
     hard_state: HardState = HardState()
     snapshot: Snapshot | None = None
@@ -64,6 +71,13 @@
     exists: bool = False
     error: Failure | None = None
 
+    @property
+    def replacement_interrupted(self) -> bool:
+        """Whether the log was not yet replaced for the stored snapshot."""
+        return (
+            self.snapshot is not None and self.base_index < self.snapshot.index
+        )
+
     def recovered(self) -> Recovered:
         """Return the durable state that the state machine starts from."""
         entries = tuple(self.entries)
@@ -161,7 +175,7 @@
         return
     content.incarnation = log_scan.records[0].incarnation
     content.first_members = log_scan.records[0].first_members
-    base = log_scan.records[0].base_index
+    base = content.base_index = log_scan.records[0].base_index
     for record, offset in zip(log_scan.records, log_scan.offsets, strict=True):
         fault = offset and _load_batch(content, base, record)
         if fault:
--- a/chivescale/agreement/tests/durable.feature
+++ b/chivescale/agreement/tests/durable.feature
@@ -59,3 +59,17 @@
 
   Scenario: A crash at any point while storing a snapshot
     Then a crash at any system call while a snapshot is stored loses no data
+
+  Scenario Outline: Starts after a crash while a leader's snapshot is stored
+    Guards against a log that cannot be opened, or that loses an acknowledged
+    entry, at the second start after a crash between two renames.
+
+    Given a log whose entries <relation> a leader's snapshot
+    Then a crash at any system call of storing it and of the next start
+    And entries stored after it are found at every later start
+
+    Examples:
+      | relation         |
+      | end long before  |
+      | conflict with    |
+      | include those of |
--- a/chivescale/agreement/tests/steps/durable_steps.py
+++ b/chivescale/agreement/tests/steps/durable_steps.py
@@ -249,24 +249,29 @@
         assert result.kind is ErrorKind.STORAGE_FAILED, result
 
 
+def _crash_after(log, calls: int) -> None:
+    """Let every system call of a log after the first `calls` fail."""
+    left = iter(range(calls))
+
+    def limited(call):
+        def run(*args):
+            if next(left, None) is None:
+                raise OSError(errno.EIO, "crash")
+            return call(*args)
+
+        return run
+
+    log.write, log.fsync = limited(os.write), limited(os.fsync)
+
+
 @then("a crash at any system call while a snapshot is stored loses no data")
 def crash_in_snapshot(context):
     completed = False
     for calls in range(1, 30):
         log_with_snapshot(context)
-        left = iter(range(calls))
-
-        def crashing(call, left=left):
-            def run(*args):
-                if next(left, None) is None:
-                    raise OSError(errno.EIO, "crash")
-                return call(*args)
-
-            return run
-
         log = ag.DurableLog(context.folder)
         log.open()
-        log.write, log.fsync = crashing(os.write), crashing(os.fsync)
+        _crash_after(log, calls)
         snapshot = ag.Snapshot(7, 2, MEMBERS, b"later")
         hard_state = ag.HardState(2, "c1/j")
         failure = log.snapshot(snapshot, hard_state, (_entry(8, 2),))
@@ -280,3 +285,88 @@
         assert found.entries == expected, (calls, found.entries)
         completed = failure is None
     assert completed, "the crash points did not reach the end"
+
+
+LEADER_SNAPSHOT = ag.Snapshot(7, 3, MEMBERS, b"leader's state")
+# Entries 1 to 8 of the log, as terms, before the snapshot arrives.
+TERMS = {
+    "end long before": (1, 1),
+    "conflict with": (1, 1, 1, 1, 1, 2, 2, 2),
+    "include those of": (1, 1, 1, 1, 1, 3, 3, 3),
+}
+
+
+@given("a log whose entries {relation} a leader's snapshot")
+def log_and_leader_snapshot(context, relation):
+    context.terms = TERMS[relation]
+
+
+def _new_log(context) -> ag.DurableLog:
+    context.folder = _folder(context)
+    log = ag.DurableLog(context.folder)
+    assert not is_failure(log.open())
+    entries = [_entry(i, t) for i, t in enumerate(context.terms, 1)]
+    _store(log, *entries, state=ag.HardState(3, "c1/j"))
+    return log
+
+
+@then("a crash at any system call of storing it and of the next start")
+def crash_storing_and_starting(context):
+    """Leave one folder for each pair of crash points."""
+    context.folders = []
+    kept = tuple(
+        _entry(i, t)
+        for i, t in enumerate(context.terms, 1)
+        if t == LEADER_SNAPSHOT.term and i > LEADER_SNAPSHOT.index
+    )
+    storing_completed = False
+    for storing in range(30):
+        starting_completed = False
+        for starting in range(30):
+            log = _new_log(context)
+            _crash_after(log, storing)
+            failure = log.snapshot(
+                LEADER_SNAPSHOT, ag.HardState(3, "c1/j"), kept
+            )
+            log.close()
+            again = ag.DurableLog(context.folder)
+            _crash_after(again, starting)
+            starting_completed = not is_failure(again.open())
+            again.close()
+            context.folders.append(context.folder)
+            if starting_completed:
+                break
+        assert starting_completed, storing
+        storing_completed = failure is None
+        if storing_completed:
+            break
+    assert storing_completed
+
+
+@then("entries stored after it are found at every later start")
+def found_at_later_starts(context):
+    for folder in context.folders:
+        log = ag.DurableLog(folder)
+        found = log.open()
+        assert not is_failure(found), found
+        assert found.hard_state == ag.HardState(3, "c1/j"), found
+        base = found.snapshot.index if found.snapshot else 0
+        expected = list(found.entries)
+        if found.snapshot is not None:
+            assert found.snapshot == LEADER_SNAPSHOT
+        else:
+            assert len(expected) == len(context.terms)
+        for _ in range(3):
+            new = _entry(base + len(expected) + 1, 3)
+            expected.append(new)
+            _store(log, new)
+            log.close()
+            found = log.open()
+            assert not is_failure(found), (folder, found)
+            assert list(found.entries) == expected, (folder, found.entries)
+        later = ag.Snapshot(new.index, 3, MEMBERS, b"later")
+        assert log.snapshot(later, found.hard_state, ()) is None
+        _store(log, _entry(new.index + 1, 3))
+        log.close()
+        found = _reopen(folder)
+        assert found.snapshot == later and len(found.entries) == 1, found
