--- a/chivescale/agreement/_folder.py
+++ b/chivescale/agreement/_folder.py
@@ -81,11 +81,16 @@
     def recovered(self) -> Recovered:
         """Return the durable state that the state machine starts from."""
         entries = tuple(self.entries)
+        hard_state = self.hard_state
         if self.snapshot is not None:
             entries = _entries_after(self.snapshot, entries)
+            if hard_state.term < self.snapshot.term:
+                # The crash came before the leader's term was stored, so that
+                # the member has neither voted nor replied in it.
+                hard_state = HardState(self.snapshot.term)
         return Recovered(
             self.incarnation,
-            self.hard_state,
+            hard_state,
             self.snapshot,
             entries,
             self.first_members,
--- a/chivescale/agreement/tests/durable.feature
+++ b/chivescale/agreement/tests/durable.feature
@@ -73,3 +73,10 @@
       | end long before  |
       | conflict with    |
       | include those of |
+
+  Scenario: The term after a crash while a leader's snapshot is stored
+    Guards against a member whose term is below that of its snapshot, which
+    would follow a leader that was deposed before and stop at its entries.
+
+    Given a log that a crash has left beside a snapshot of a later term
+    Then a start recovers the term of the snapshot and no vote
--- a/chivescale/agreement/tests/steps/durable_steps.py
+++ b/chivescale/agreement/tests/steps/durable_steps.py
@@ -370,3 +370,24 @@
         log.close()
         found = _reopen(folder)
         assert found.snapshot == later and len(found.entries) == 1, found
+
+
+@given("a log that a crash has left beside a snapshot of a later term")
+def log_of_earlier_term(context):
+    context.folder = _folder(context)
+    log = ag.DurableLog(context.folder)
+    assert not is_failure(log.open())
+    _store(log, _entry(1), _entry(2), state=ag.HardState(1, "c1/j"))
+    # One write and one sync of the snapshot and one of the folder.
+    _crash_after(log, 3)
+    later = ag.HardState(LEADER_SNAPSHOT.term, "")
+    assert log.snapshot(LEADER_SNAPSHOT, later, ()) is not None
+    log.close()
+
+
+@then("a start recovers the term of the snapshot and no vote")
+def recovers_snapshot_term(context):
+    for _ in range(2):
+        found = _reopen(context.folder)
+        assert found.snapshot == LEADER_SNAPSHOT, found
+        assert found.hard_state == ag.HardState(LEADER_SNAPSHOT.term), found
