--- a/chivescale/agreement/_folder.py
+++ b/chivescale/agreement/_folder.py
@@ -102,16 +102,14 @@
 
     A process may crash after storing a leader's snapshot and before
     replacing the log. Entries that conflict with the snapshot were never
-    committed and are discarded.
+    committed and are discarded. Their terms are below that of the snapshot:
+    a leader of that term or a later one has the last entry of the snapshot,
+    and replicates it before any entry after it.
     """
-    if not entries or entries[0].index == snapshot.index + 1:
-        return entries
-    position = snapshot.index - entries[0].index
-    if not 0 <= position < len(entries):
+    later = tuple(e for e in entries if e.index > snapshot.index)
+    if not later or later[0].term < snapshot.term:
         return ()
-    if entries[position].term != snapshot.term:
-        return ()
-    return entries[position + 1 :]
+    return later
 
 
 def read_folder(folder: str | pathlib.Path) -> FolderContent:
@@ -132,11 +130,13 @@
             )
         return content
     content.exists = True
-    _load_log(content, folder / LOG_NAME, log_scan)
+    _load_header(content, folder / LOG_NAME, log_scan)
     if snapshot_scan is not None and content.error is None:
         _load_snapshot(content, folder / SNAPSHOT_NAME, snapshot_scan)
     if content.error is None:
-        _check_continuity(content, folder / LOG_NAME, log_scan.records[0])
+        _load_batches(content, folder / LOG_NAME, log_scan)
+    if content.error is None:
+        _check_continuity(content, folder / LOG_NAME)
     return content
 
 
@@ -170,7 +170,7 @@
     return Failure(ErrorKind.STORAGE_CORRUPT, text)
 
 
-def _load_log(
+def _load_header(
     content: FolderContent, path: pathlib.Path, log_scan: ScanResult
 ) -> None:
     content.log_end, content.torn_bytes = log_scan.offset, log_scan.torn_bytes
@@ -178,11 +178,17 @@
         reason = log_scan.corrupt or "log header is missing"
         content.error = _corrupt(path, 0, reason)
         return
-    content.incarnation = log_scan.records[0].incarnation
-    content.first_members = log_scan.records[0].first_members
-    base = content.base_index = log_scan.records[0].base_index
+    header = log_scan.records[0]
+    content.incarnation = header.incarnation
+    content.first_members = header.first_members
+    content.base_index = header.base_index
+
+
+def _load_batches(
+    content: FolderContent, path: pathlib.Path, log_scan: ScanResult
+) -> None:
     for record, offset in zip(log_scan.records, log_scan.offsets, strict=True):
-        fault = offset and _load_batch(content, base, record)
+        fault = offset and _load_batch(content, record)
         if fault:
             content.error = _corrupt(path, offset, fault)
             return
@@ -190,21 +196,32 @@
         content.error = _corrupt(path, log_scan.offset, log_scan.corrupt)
 
 
-def _load_batch(content: FolderContent, base: int, record: Record) -> str:
+def _load_batch(content: FolderContent, record: Record) -> str:
     if not isinstance(record, Batch):
         return "unexpected record type in the log"
     if record.hard_state is not None:
         content.hard_state = record.hard_state
+    entries = content.entries
     for entry in record.entries:
-        position = entry.index - base - 1
-        if not 0 <= position <= len(content.entries):
+        first = entries[0].index if entries else content.base_index + 1
+        position = entry.index - first
+        if position > len(entries) and _continues_snapshot(content, entry):
+            # Earlier versions continued a log that ended before the snapshot.
+            entries.clear()
+            position = 0
+        if not 0 <= position <= len(entries):
             return f"entry {entry.index} does not follow the previous entry"
         # An entry with an existing index overwrites it and all later ones.
-        del content.entries[position:]
-        content.entries.append(entry)
+        del entries[position:]
+        entries.append(entry)
     return ""
 
 
+def _continues_snapshot(content: FolderContent, entry: Entry) -> bool:
+    snapshot = content.snapshot
+    return snapshot is not None and entry.index == snapshot.index + 1
+
+
 def _load_snapshot(
     content: FolderContent, path: pathlib.Path, snapshot_scan: ScanResult
 ) -> None:
@@ -231,11 +248,11 @@
         content.snapshot = record.snapshot
 
 
-def _check_continuity(content: FolderContent, path, header: LogHeader) -> None:
+def _check_continuity(content: FolderContent, path) -> None:
     snapshot_index = content.snapshot.index if content.snapshot else 0
-    if snapshot_index < header.base_index:
+    if snapshot_index < content.base_index:
         reason = (
-            f"log starts after entry {header.base_index},"
+            f"log starts after entry {content.base_index},"
             f" but the snapshot ends at entry {snapshot_index}"
         )
         content.error = _corrupt(path, 0, reason)
--- a/chivescale/agreement/tests/durable.feature
+++ b/chivescale/agreement/tests/durable.feature
@@ -80,3 +80,19 @@
 
     Given a log that a crash has left beside a snapshot of a later term
     Then a start recovers the term of the snapshot and no vote
+
+  Scenario Outline: A log that an earlier version continued after a crash
+    Guards against data folders that cannot be used after an upgrade: versions
+    before 2026-12-07 appended to a log that a crash had left unreplaced.
+
+    Given a log whose entries <relation> a leader's snapshot
+    And that snapshot, stored without replacing the log
+    And an entry appended after that snapshot
+    Then a start recovers the snapshot and that entry
+    And the log can be continued
+
+    Examples:
+      | relation         |
+      | end long before  |
+      | conflict with    |
+      | include those of |
--- a/chivescale/agreement/tests/steps/durable_steps.py
+++ b/chivescale/agreement/tests/steps/durable_steps.py
@@ -391,3 +391,36 @@
         found = _reopen(context.folder)
         assert found.snapshot == LEADER_SNAPSHOT, found
         assert found.hard_state == ag.HardState(LEADER_SNAPSHOT.term), found
+
+
+@given("that snapshot, stored without replacing the log")
+def stored_without_log(context):
+    log = _new_log(context)
+    _crash_after(log, 3)
+    state = ag.HardState(3, "c1/j")
+    assert log.snapshot(LEADER_SNAPSHOT, state, ()) is not None
+    log.close()
+
+
+@given("an entry appended after that snapshot")
+def appended_after_snapshot(context):
+    context.appended = _entry(LEADER_SNAPSHOT.index + 1, 3)
+    with (context.folder / LOG).open("ab") as file:
+        file.write(encode_record(Batch(None, (context.appended,))))
+
+
+@then("a start recovers the snapshot and that entry")
+def recovers_appended(context):
+    found = _reopen(context.folder)
+    assert not is_failure(found), found
+    assert found.snapshot == LEADER_SNAPSHOT, found
+    assert found.entries == (context.appended,), found.entries
+
+
+@then("the log can be continued")
+def can_be_continued(context):
+    log = ag.DurableLog(context.folder)
+    assert not is_failure(log.open())
+    _store(log, _entry(LEADER_SNAPSHOT.index + 2, 3))
+    log.close()
+    assert len(_reopen(context.folder).entries) == 2
