Do not count a former primary as a silent replica

Callers of a service with synchronous replicas had no primary while one that had been demoted before it crashed was down, although two replicas answered.

Change: the former primary counts only if it answers.

--- a/chivescale/coordinator/_promoter.py
+++ b/chivescale/coordinator/_promoter.py
@@ -591,6 +591,7 @@
                 entry.heartbeat.draining,
             )
             for entry, state in zip(entries, states, strict=True)
+            if state is not None or not self._was_primary(watched, entry)
         ]
         new_primary = choose_successor(
             candidates, sync_replicas, self._ordered_endpoint(watched)
@@ -611,6 +612,17 @@
             )
         return new_primary
 
+    def _was_primary(
+        self, watched: WatchedPrimary, entry: EndpointEntry
+    ) -> bool:
+        """Return whether an endpoint is the former primary.
+
+        Other replicas hold the commits that it acknowledged. Where endpoints
+        are not fenced, the watched endpoint may never have led.
+        """
+        former = entry.heartbeat.endpoint == watched.endpoint
+        return former and not self.host.leases.enabled
+
     def _ordered_endpoint(self, watched: WatchedPrimary) -> str:
         """Return the endpoint of the latest promotion if it had no effect.
 
