Give an unanswered order of a hand-over again

A leaving primary was not replaced when the order for its successor got no answer.

Evidence: the new row of demotion.feature failed, no other server led.

Change: only the replacement of a primary that was found dead asks whether it serves again. A hand-over orders its successor again, as before.

--- a/chivescale/coordinator/_promoter.py
+++ b/chivescale/coordinator/_promoter.py
@@ -399,7 +399,7 @@
     async def _replace_once(self, watched: WatchedPrimary, dead: bool) -> bool:
         service = watched.service
         confirmed = ""
-        if watched.order_unanswered and not self.host.leases.enabled:
+        if dead and watched.order_unanswered and not self.host.leases.enabled:
             confirmed = await self._leading_endpoint(watched)
         if not confirmed and await self._is_replaced(watched):
             return True
