Stop writes to a primary before its successor is chosen

With sync_replicas, callers lost writes that had been acknowledged: between the choice of a successor and its takeover, a primary that was back committed through a replica that no coordinator had paused.

Cause: the choice rested on pauses of the replicas that were known at that moment. A replica that starts, restarts, is resumed, takes over an address or is not known yet receives at once, and nothing kept entry hosts from writing to the primary under replacement, least of all after the leading coordinator had changed.

Change: for services with synchronous replicas, entry hosts write to a primary only under a lease on an open epoch, as they do where endpoints are not fenced. A replacement first commits a closed epoch, waits until no lease on an earlier one is left, and only then reads the positions of the replicas. The epoch opens again for an endpoint that leads. All of it is in the replicated log, so the next leading coordinator goes on from there. Where the primary answers, a successor has to hold all of its log. Reads need no lease where endpoints are fenced, and services without synchronous replicas use none, as before.

--- a/chivescale/coordinator/_host.py
+++ b/chivescale/coordinator/_host.py
@@ -423,15 +423,26 @@
             )
 
     async def reserve_fencing_token(
-        self, service: str, endpoint: str, planned: bool
+        self, service: str, endpoint: str, planned: bool, opens: bool = True
     ) -> int | Failure:
         """Reserve the fencing token of one promotion.
 
-        This also begins the epoch of the promoted endpoint.
+        This also begins the epoch of the promoted endpoint, a closed one if
+        `opens` is False.
         """
         holder = self.settings.name
-        command = encode(OrderPromotion(service, endpoint, holder, planned))
-        return await self.agreement.propose(command, now() + COMMAND_TIMEOUT_S)
+        command = OrderPromotion(service, endpoint, holder, planned, opens)
+        return await self.agreement.propose(
+            encode(command), now() + COMMAND_TIMEOUT_S
+        )
+
+    def sync_replicas(self, service: str) -> int:
+        """Return how many replicas acknowledge each commit of a service."""
+        catalog = self.state.catalog.catalog
+        for options in catalog.services if catalog else ():
+            if options.name == service:
+                return options.sync_replicas
+        return 0
 
     # Requests of other processes of the system.
 
--- a/chivescale/coordinator/_leases.py
+++ b/chivescale/coordinator/_leases.py
@@ -63,9 +63,26 @@
 
     @property
     def enabled(self) -> bool:
-        """Whether endpoints have to be protected by leases."""
+        """Whether the primaries of all services are used under leases."""
         return not self.host.settings.endpoints_fenced
 
+    def guards(self, service: str) -> bool:
+        """Return whether a service is written to in open epochs only.
+
+        An endpoint that is fenced refuses writes once its successor leads.
+        It cannot know that the successor was chosen without its last commits,
+        so with synchronous replicas the entry hosts stop writing first.
+        """
+        return self.host.sync_replicas(service) > 0
+
+    def _in_use(self) -> bool:
+        """Return whether any service needs leases."""
+        catalog = self.host.state.catalog.catalog
+        return self.enabled or any(
+            options.sync_replicas
+            for options in (catalog.services if catalog else ())
+        )
+
     def epoch(self, service: str) -> Epoch:
         """Return the committed epoch of a service."""
         return self.grantor.table.get(service)
@@ -158,7 +175,7 @@
         while True:
             await asyncio.sleep(EXCHANGE_INTERVAL_S)
             own = self.host.settings.address
-            if not self.enabled or not self.view().is_voter:
+            if not self._in_use() or not self.view().is_voter:
                 continue
             for address in self._voters():
                 if address != own:
--- a/chivescale/coordinator/_messages.py
+++ b/chivescale/coordinator/_messages.py
@@ -29,12 +29,25 @@
     The token is the log index of the command. It is therefore unique to one
     holder and higher than all earlier tokens. The command also begins the
     epoch in which the endpoint is the primary.
+
+    Attributes
+    ----------
+    service, endpoint : str
+        Endpoint to promote; empty if it is not chosen yet.
+    holder : str
+        Coordinator that orders the promotion.
+    planned : bool
+        Whether the former primary still works.
+    opens : bool
+        Whether entry hosts may write to the endpoint. If not, they write to
+        no endpoint of the service until a later command opens an epoch.
     """
 
     service: str
     endpoint: str
     holder: str
     planned: bool = False
+    opens: bool = True
 
 
 Command = StoreCatalog | OrderPromotion
--- a/chivescale/coordinator/_promoter.py
+++ b/chivescale/coordinator/_promoter.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from chivescale.clock import now
+from chivescale.coordinator._guarded import replace_guarded
 from chivescale.dialect import EndpointDialect, EndpointState
 from chivescale.errors import ErrorKind, Failure, is_failure
 from chivescale.link import Link, open_link
@@ -167,9 +168,9 @@
                 )
             return
         epoch = self.host.leases.epoch(service)
-        for name in claimants if epoch.index else ():
+        for name in claimants if epoch.index and epoch.open else ():
             if name != epoch.endpoint and self._demotion_due(name):
-                self.host.run_in_background(self._demote(service, name))
+                self.host.run_in_background(self.demote(service, name))
 
     def _primary_claimants(self, service: str) -> list[str]:
         """Return the endpoints that report to be the primary."""
@@ -202,7 +203,7 @@
         """
         text = self.dialect.state_text()
         states = await asyncio.gather(
-            *(self._query_state(name, text) for name in claimants)
+            *(self.query_state(name, text) for name in claimants)
         )
         terms = {
             name: state.term
@@ -273,12 +274,16 @@
         """Return the endpoint that became primary most recently.
 
         A former primary that does not know of its successor still claims to
-        be primary. Where that can happen, the log decides.
+        be primary. Where that can happen, the log decides. It also does where
+        entry hosts write only to the endpoint that the log names.
         """
-        epoch = self.host.leases.epoch(service)
-        if self.host.leases.enabled and epoch.index:
+        leases, epoch = self.host.leases, self.host.leases.epoch(service)
+        log_decides = leases.enabled or leases.guards(service)
+        if log_decides and epoch.index and epoch.open:
             entry = self.host.registry.entries.get(epoch.endpoint)
-            return None if entry is None or entry.heartbeat.gone else entry
+            known = entry is not None and not entry.heartbeat.gone
+            if known or leases.enabled:
+                return entry if known else None
         primaries = [
             entry
             for entry in self.host.registry.service_endpoints(service)
@@ -294,6 +299,8 @@
         entry = self.host.registry.entries.get(watched.endpoint)
         if entry is None or entry.heartbeat.gone:
             return True
+        if self._is_closed_to_writes(watched):
+            return True
         since = watched.not_primary_since
         if since is not None and now() - since > TAKEOVER_TIMEOUT_S:
             # Nobody else claims to be the primary either, or the log names
@@ -301,6 +308,17 @@
             return True
         return verdict is Verdict.DEAD or entry.heartbeat.draining
 
+    def _is_closed_to_writes(self, watched: WatchedPrimary) -> bool:
+        """Return whether entry hosts may not write to the watched primary.
+
+        A replacement that began under an earlier leader is to be finished, or
+        the primary has another identifier than the log names.
+        """
+        epoch = self.host.leases.epoch(watched.service)
+        if not epoch.index or not self.host.leases.guards(watched.service):
+            return False
+        return not epoch.open or epoch.endpoint != watched.endpoint
+
     # Probes.
 
     async def _open_link(self, endpoint: str) -> Link | Failure:
@@ -329,11 +347,13 @@
         The probe begins a transaction, which takes no slot, so that busy
         endpoints answer as well.
         """
-        if self._sync_replicas(watched.service):
-            await self._resume_replicas(watched)
+        pauses_left = self.host.sync_replicas(watched.service) > 0
         while True:
+            if pauses_left and not self._is_closed_to_writes(watched):
+                await self.resume_replicas(watched)
+                pauses_left = False
             sent_at = now()
-            outcome = await self._check_primary(watched.endpoint)
+            outcome = await self.check_primary(watched.endpoint)
             if not is_failure(outcome):
                 watched.detector.record_answer(sent_at)
             elif outcome.kind is ErrorKind.CONNECTION_REFUSED:
@@ -355,7 +375,7 @@
                 pause /= 2
             await asyncio.sleep(pause)
 
-    async def _check_primary(self, endpoint: str) -> bool | Failure:
+    async def check_primary(self, endpoint: str) -> bool | Failure:
         """Begin and roll back a transaction; tell whether it was accepted."""
         link = await self._open_link(endpoint)
         if is_failure(link):
@@ -398,12 +418,14 @@
 
     async def _replace_once(self, watched: WatchedPrimary, dead: bool) -> bool:
         service = watched.service
+        if self.host.leases.guards(service):
+            return await replace_guarded(self, watched, dead)
         confirmed = ""
         if dead and watched.order_unanswered and not self.host.leases.enabled:
             confirmed = await self._leading_endpoint(watched)
-        if not confirmed and await self._is_replaced(watched):
+        if not confirmed and await self.is_replaced(watched):
             return True
-        new_primary = confirmed or await self._choose_successor(watched, dead)
+        new_primary = confirmed or await self._choose_successor(watched)
         if is_failure(new_primary):
             log_event(
                 "no_successor",
@@ -419,8 +441,10 @@
             log_event("no_token", "warning", reason=token.reason)
             return False
         if self.host.leases.enabled:
-            await self._end_epoch(watched, new_primary, token, dead)
-            if not await self._is_latest_order(service, token):
+            await self.end_epoch(watched, token, dead)
+            if not dead:
+                await self._await_catch_up(watched.endpoint, new_primary)
+            if not await self.is_latest_order(service, token):
                 return False
         outcome = await self.authority.promote(
             service, new_primary, self.host.settings.name, token
@@ -442,12 +466,12 @@
         if former_may_lead and new_primary != watched.endpoint:
             demotion = self._demote_primary(watched)
             _, taken_over = await asyncio.gather(
-                demotion, self._await_takeover(new_primary)
+                demotion, self.await_takeover(new_primary)
             )
             return taken_over
-        return await self._await_takeover(new_primary)
+        return await self.await_takeover(new_primary)
 
-    async def _is_replaced(self, watched: WatchedPrimary) -> bool:
+    async def is_replaced(self, watched: WatchedPrimary) -> bool:
         """Return whether another endpoint is the primary of the service."""
         current = self._find_primary(watched.service)
         if current is None:
@@ -459,7 +483,7 @@
         )
         if changed and self.host.leases.enabled:
             # Its promotion was agreed on but may not have happened.
-            return await self._check_primary(heartbeat.endpoint) is True
+            return await self.check_primary(heartbeat.endpoint) is True
         return changed
 
     async def _leading_endpoint(self, watched: WatchedPrimary) -> str:
@@ -479,9 +503,9 @@
         if current is None:
             return ""
         name = current.heartbeat.endpoint
-        return name if await self._check_primary(name) is True else ""
+        return name if await self.check_primary(name) is True else ""
 
-    async def _is_latest_order(self, service: str, token: int) -> bool:
+    async def is_latest_order(self, service: str, token: int) -> bool:
         """Return whether no later promotion of the service was agreed on.
 
         Nobody checks the token of an order where endpoints are not fenced. A
@@ -503,8 +527,8 @@
             return False
         return True
 
-    async def _end_epoch(
-        self, watched: WatchedPrimary, successor: str, index: int, dead: bool
+    async def end_epoch(
+        self, watched: WatchedPrimary, index: int, dead: bool
     ) -> None:
         """Return when no write can succeed on the former primary any more.
 
@@ -531,8 +555,6 @@
             demoted=demotion.done() and not demotion.cancelled(),
             duration_s=now() - started,
         )
-        if not dead:
-            await self._await_catch_up(watched.endpoint, successor)
 
     async def _demote_until_done(
         self, watched: WatchedPrimary, delay_s: float
@@ -548,32 +570,22 @@
         text = self.dialect.state_text()
         while now() < deadline:
             states = await asyncio.gather(
-                self._query_state(former, text),
-                self._query_state(successor, text),
+                self.query_state(former, text),
+                self.query_state(successor, text),
             )
             if None in states or states[0].received <= states[1].received:
                 return
             await asyncio.sleep(CATCH_UP_POLL_S)
 
     async def _choose_successor(
-        self, watched: WatchedPrimary, dead: bool
+        self, watched: WatchedPrimary
     ) -> str | Failure:
-        """Choose the endpoint to promote.
-
-        With synchronous replicas, a primary that this host cannot reach may
-        still commit. Its replicas therefore stop receiving before their
-        positions are compared. In a handover, all replicas but the chosen
-        one stop receiving.
-        """
+        """Choose the endpoint to promote."""
         entries = self._replicas(watched)
-        sync_replicas = self._sync_replicas(watched.service)
         statement = self.dialect.state_text()
-        if sync_replicas and dead:
-            term = await self._highest_term(entries)
-            statement = self.dialect.pause_text(term + 1)
         states = await asyncio.gather(
             *(
-                self._query_state(entry.heartbeat.endpoint, statement)
+                self.query_state(entry.heartbeat.endpoint, statement)
                 for entry in entries
             )
         )
@@ -593,24 +605,7 @@
             for entry, state in zip(entries, states, strict=True)
             if state is not None or not self._was_primary(watched, entry)
         ]
-        new_primary = choose_successor(
-            candidates, sync_replicas, self._ordered_endpoint(watched)
-        )
-        if sync_replicas and not dead and not is_failure(new_primary):
-            term = max(s.term for s in states if s is not None)
-            pause = self.dialect.pause_text(term + 1)
-            others = [
-                replica
-                for replica in entries
-                if replica.heartbeat.endpoint != new_primary
-            ]
-            await asyncio.gather(
-                *(
-                    self._query_state(entry.heartbeat.endpoint, pause)
-                    for entry in others
-                )
-            )
-        return new_primary
+        return choose_successor(candidates, 0, self._ordered_endpoint(watched))
 
     def _was_primary(
         self, watched: WatchedPrimary, entry: EndpointEntry
@@ -649,36 +644,18 @@
             or watched.not_primary_since is not None
         ]
 
-    async def _highest_term(self, entries: list[EndpointEntry]) -> int:
-        """Return the highest term that any replica reports."""
-        text = self.dialect.state_text()
-        states = await asyncio.gather(
-            *(
-                self._query_state(entry.heartbeat.endpoint, text)
-                for entry in entries
-            )
-        )
-        return max((s.term for s in states if s is not None), default=0)
-
-    async def _resume_replicas(self, watched: WatchedPrimary) -> None:
+    async def resume_replicas(self, watched: WatchedPrimary) -> None:
         """End replication pauses left behind by an earlier leader."""
         text = self.dialect.resume_text()
         await asyncio.gather(
             *(
-                self._query_state(entry.heartbeat.endpoint, text)
+                self.query_state(entry.heartbeat.endpoint, text)
                 for entry in self._replicas(watched)
             )
         )
         log_event("replicas_resumed", service=watched.service)
 
-    def _sync_replicas(self, service: str) -> int:
-        catalog = self.host.state.catalog.catalog
-        for options in catalog.services if catalog else ():
-            if options.name == service:
-                return options.sync_replicas
-        return 0
-
-    async def _query_state(
+    async def query_state(
         self, endpoint: str, text: str
     ) -> EndpointState | None:
         """Send a statement whose reply is the state of the endpoint."""
@@ -699,11 +676,11 @@
 
         Its last commits are replicated afterwards.
         """
-        return await self._demote(watched.service, watched.endpoint)
+        return await self.demote(watched.service, watched.endpoint)
 
-    async def _demote(self, service: str, endpoint: str) -> bool:
+    async def demote(self, service: str, endpoint: str) -> bool:
         """Demote an endpoint; return whether it is not a primary."""
-        state = await self._query_state(endpoint, self.dialect.state_text())
+        state = await self.query_state(endpoint, self.dialect.state_text())
         if state is None:
             return False
         if not state.primary:
@@ -738,11 +715,11 @@
         after = self.dialect.decode_state(reply)
         return not is_failure(after) and not after.primary
 
-    async def _await_takeover(self, endpoint: str) -> bool:
+    async def await_takeover(self, endpoint: str) -> bool:
         """Wait until the new primary accepts transactions."""
         deadline = now() + TAKEOVER_TIMEOUT_S
         while now() < deadline:
-            outcome = await self._check_primary(endpoint)
+            outcome = await self.check_primary(endpoint)
             if outcome is True:
                 return True
             await asyncio.sleep(TAKEOVER_POLL_S)
--- a/chivescale/coordinator/_replicated.py
+++ b/chivescale/coordinator/_replicated.py
@@ -131,7 +131,7 @@
 
 def promotion_epoch(index: int, command: OrderPromotion) -> dict[str, Epoch]:
     """Return the epoch that a promotion begins, by service."""
-    epoch = Epoch(index, command.endpoint, command.planned)
+    epoch = Epoch(index, command.endpoint, command.planned, command.opens)
     return {command.service: epoch}
 
 
--- a/chivescale/lease/_holder.py
+++ b/chivescale/lease/_holder.py
@@ -126,7 +126,10 @@
 
     def _majority_end(self, quorum: Quorum, service: str) -> float:
         """Return the time until which a majority of voters grants."""
-        index = self.epoch(service).index
+        epoch = self.epoch(service)
+        if not epoch.open:
+            return 0.0
+        index = epoch.index
         ends = sorted(
             (
                 grant.end
--- a/chivescale/lease/_messages.py
+++ b/chivescale/lease/_messages.py
@@ -19,11 +19,15 @@
         only primary is the one that the service started with.
     planned : bool
         Whether the former primary was still working.
+    open : bool
+        Whether the endpoint may be used. In a closed epoch, no lease is held
+        while the primary is being replaced.
     """
 
     index: int
     endpoint: str
     planned: bool = False
+    open: bool = True
 
 
 NO_EPOCH = Epoch(0, "")
--- a/chivescale/lease/tests/lease.feature
+++ b/chivescale/lease/tests/lease.feature
@@ -32,6 +32,16 @@
     When the host confirms
     Then the lease on epoch 5 is not held
 
+  Scenario: No lease is held while a primary is being replaced
+    Given epoch 5 and grants a 1.8 5, b 1.5 5 of 3 voters
+    When epoch 7 begins, which is closed, with grants a 1.8 7, b 1.5 7
+    Then the lease on epoch 5 is held for 1.5 s and not longer
+    And the lease on epoch 7 is not held
+    When the host confirms
+    And epoch 9 begins
+    Then the lease on epoch 5 is not held
+    And the lease on epoch 7 is not held
+
   Scenario: The clock of a host may be slower than that of a coordinator
     Given epoch 0 and grants a 1.8 0 of 1 voters
     Then the lease is not held when 1.8 s have passed on a slower clock
--- a/chivescale/lease/tests/steps/lease_steps.py
+++ b/chivescale/lease/tests/steps/lease_steps.py
@@ -88,6 +88,16 @@
     )
 
 
+@when("epoch {epoch:d} begins, which is closed, with grants {grants}")
+def closed_epoch_begins(context, epoch, grants):
+    closed = {SERVICE: Epoch(epoch, "c", open=False)}
+    context.holder.apply(
+        LeaseAnswer(epoch, closed, "q", 3, parse_grants(grants)),
+        START_S,
+        START_S,
+    )
+
+
 @then("the lease on epoch {epoch:d} is held for {seconds:g} s and not longer")
 def retired_lasts(context, epoch, seconds):
     assert holds(context, epoch, seconds * CLOCK_RATE_FRACTION - 0.001)
--- a/chivescale/promotion/_choice.py
+++ b/chivescale/promotion/_choice.py
@@ -25,13 +25,18 @@
 
 
 def choose_successor(
-    candidates: list[Candidate], sync_replicas: int, ordered: str = ""
+    candidates: list[Candidate],
+    sync_replicas: int,
+    ordered: str = "",
+    required: Position | None = None,
 ) -> str | Failure:
     """Return the most advanced replica, or the one ordered before.
 
     At least `sync_replicas` replicas hold each acknowledged commit. If fewer
     than that did not answer, one that answered holds it. Otherwise an
-    acknowledged commit could be lost, and no replica is chosen.
+    acknowledged commit could be lost, and no replica is chosen. If the last
+    log entry of the primary is known, only replicas that have received it are
+    considered.
 
     Parameters
     ----------
@@ -43,16 +48,24 @@
         Replica whose promotion was ordered before without effect so far;
         empty if none. That order may still be executed, so that two
         endpoints would be promoted if another one was chosen.
+    required : Position or None
+        Last log entry of the primary, to which nobody writes any more; None
+        if it is not known.
 
     Returns
     -------
     endpoint or Failure
-        ``NO_QUORUM`` if only silent replicas may hold an acknowledged commit,
+        ``NO_QUORUM`` if only other replicas may hold an acknowledged commit,
         ``NO_PRIMARY`` if no replica answered.
     """
     responding = [c for c in candidates if c.received is not None]
     silent = len(candidates) - len(responding)
-    if sync_replicas and silent >= sync_replicas:
+    if required is not None:
+        responding = [c for c in responding if c.received >= required]
+        if not responding:
+            reason = f"no replica has received {required} from the primary"
+            return Failure(ErrorKind.NO_QUORUM, reason)
+    elif sync_replicas and silent >= sync_replicas:
         reason = (
             f"{silent} replicas did not answer and may hold an acknowledged "
             f"commit (sync_replicas={sync_replicas})"
@@ -62,7 +75,7 @@
         return Failure(ErrorKind.NO_PRIMARY, "no replica answered")
     preferred = [c for c in responding if not c.draining]
     latest_position = max(c.received for c in responding)
-    if sync_replicas:
+    if sync_replicas and required is None:
         preferred = [c for c in preferred if c.received == latest_position]
     if ordered in {c.endpoint for c in preferred}:
         return ordered
--- a/chivescale/promotion/tests/promotion.feature
+++ b/chivescale/promotion/tests/promotion.feature
@@ -35,6 +35,19 @@
       | a 3.10, b 3.12            | 1    | a       | b         |
       | a 3.10, b 3.12            | 0    | c       | b         |
 
+  Scenario Outline: The last log entry of the primary is known
+    Given replicas <replicas> and a primary at <position> to which nobody writes
+    Then the successor is <successor>
+
+    Examples: with one synchronous copy
+      | replicas                         | position | successor           |
+      | a 3.10, b 3.12                   | 3.12     | b                   |
+      | a 3.12, b silent                 | 3.12     | a                   |
+      | a 3.10, b 3.11                   | 3.12     | none: no replica    |
+      | a silent, b silent               | 3.12     | none: no replica    |
+      | a 3.12, b 3.13 draining          | 3.12     | a                   |
+      | a 2.99, b 3.12 draining          | 3.12     | b                   |
+
   Scenario Outline: Selection of the successor
     Given replicas <replicas> and <sync> synchronous copies
     Then the successor is <successor>
--- a/chivescale/promotion/tests/steps/promotion_steps.py
+++ b/chivescale/promotion/tests/steps/promotion_steps.py
@@ -92,6 +92,16 @@
     context.choice = choose_successor(candidates_from(replicas), sync, ordered)
 
 
+@given(
+    "replicas {replicas} and a primary at {position} to which nobody writes"
+)
+def replicas_and_primary(context, replicas, position):
+    required = Position(*map(int, position.split(".")))
+    context.choice = choose_successor(
+        candidates_from(replicas), 1, required=required
+    )
+
+
 def candidates_from(replicas: str) -> list[Candidate]:
     candidates = []
     for text in replicas.split(", "):
--- a/chivescale/relay/_coordinator_watcher.py
+++ b/chivescale/relay/_coordinator_watcher.py
@@ -123,7 +123,7 @@
                 self.current_index % len(self.coordinators)
             ]
             lease_index = NO_LEASES
-            if self.host.leases is not None:
+            if self.host.leases.needed:
                 lease_index = await self.host.leases.confirm()
             sent_at = now()
             response = await self._poll(address, lease_index)
@@ -131,7 +131,7 @@
                 await self._give_up(address, response.reason)
                 continue
             self._apply_response(response)
-            if self.host.leases is not None and response.lease is not None:
+            if response.lease is not None:
                 self.host.leases.apply(response.lease, sent_at)
             if response.age_s > MAX_COORDINATOR_STALENESS_S:
                 reason = f"no contact to a quorum for {response.age_s:.3g} s"
@@ -159,7 +159,7 @@
     def _leases_suffice(self) -> bool:
         """Return whether the leases last until the next long poll ends."""
         host = self.host
-        if host.leases is None:
+        if not host.leases.needed:
             return True
         until = now() + MIN_LEASE_S
         return host.leases.covers(host.max_connections, until)
@@ -168,12 +168,12 @@
         catalog, settings = self.host.catalog, self.host.settings
         connect_timeout_s = CONNECT_TIMEOUT_S
         wait_ms, margin_s = LONG_POLL_MS, LONG_POLL_MARGIN_S
-        if self.host.leases is not None:
+        if self.host.leases.needed:
             wait_ms, margin_s = LEASE_POLL_MS, LEASE_POLL_MARGIN_S
         if catalog is None:
             wait_ms = FIRST_POLL_MS
             connect_timeout_s, _ = first_poll_pacing(self.first_failures)
-        elif not self.long_poll:
+        elif not self.long_poll or self.host.leases.awaits_first_grants:
             wait_ms = 0
         request = WatchRequest(
             host=EntryHostRecord(
--- a/chivescale/relay/_executor.py
+++ b/chivescale/relay/_executor.py
@@ -40,7 +40,7 @@
 )
 from chivescale.relay._release import ConnectionReleaser
 from chivescale.relay._request import Outcome, StatementRequest, failure_from
-from chivescale.relay._term_leases import TermLeases, Unleased
+from chivescale.relay._term_leases import TermLeases
 from chivescale.relay._transaction import Transaction
 
 # Maximum number of endpoints tried for one statement.
@@ -71,17 +71,17 @@
     ----------
     get_service : callable
         ``(name) -> Service``.
-    leases : TermLeases or Unleased, optional
-        Leases that the use of a primary requires.
+    leases : TermLeases, optional
+        Leases that the use of a primary requires; none by default.
     """
 
     def __init__(
         self,
         get_service: collections.abc.Callable[[str], Service],
-        leases: TermLeases | Unleased | None = None,
+        leases: TermLeases | None = None,
     ):
         self.get_service = get_service
-        self.leases = leases or Unleased()
+        self.leases = leases or TermLeases(endpoints_fenced=True)
         self.hedged_reads = HedgedReads()
         self.releaser = ConnectionReleaser()
         self.read_barriers = ReadBarriers(self.releaser, self.leases)
@@ -104,7 +104,7 @@
         epoch = await self._acquire_lease(service, request)
         if is_failure(epoch):
             return epoch
-        for endpoint in self._primaries(service)[:MAX_ATTEMPTS]:
+        for endpoint in self._primaries(service, epoch)[:MAX_ATTEMPTS]:
             if not service.admits(endpoint):
                 return queue_delay_failure(endpoint.beat.endpoint)
             connection = await self._acquire(endpoint, request)
@@ -147,10 +147,10 @@
         failure = None
         other_failures = slot_waits = 0
         while other_failures < MAX_ATTEMPTS and not request.expired():
-            epoch = await self._acquire_lease(service, request)
+            epoch = await self._acquire_lease(service, request, reads=True)
             if is_failure(epoch):
                 return epoch
-            endpoints = self._primaries(service)
+            endpoints = self._primaries(service, epoch)
             if not endpoints:
                 break
             endpoint = endpoints[0]
@@ -359,12 +359,14 @@
         while request.attempts < MAX_ATTEMPTS and not request.expired():
             epoch = None
             if on_primary:
-                epoch = await self._acquire_lease(service, request)
+                epoch = await self._acquire_lease(
+                    service, request, transaction.read_only
+                )
                 if is_failure(epoch):
                     return epoch
                 endpoints = [
                     e
-                    for e in self._primaries(service)
+                    for e in self._primaries(service, epoch)
                     if e.beat.endpoint not in excluded
                 ]
             else:
@@ -404,10 +406,12 @@
         service: Service,
     ) -> Failure | None:
         failure = None
-        epoch = await self._acquire_lease(service, request)
+        epoch = await self._acquire_lease(
+            service, request, transaction.read_only
+        )
         if is_failure(epoch):
             return epoch
-        for endpoint in self._primaries(service)[:MAX_ATTEMPTS]:
+        for endpoint in self._primaries(service, epoch)[:MAX_ATTEMPTS]:
             connection = await self._acquire_and_begin(
                 service, endpoint, request, epoch, None
             )
@@ -470,18 +474,18 @@
 
     # Leases.
 
-    def _primaries(self, service: Service) -> list[Endpoint]:
-        """Return the endpoints that may be primary in the current epoch."""
+    def _primaries(self, service: Service, epoch: int) -> list[Endpoint]:
+        """Return the endpoints that may be primary for a statement."""
         return service.primary_candidates(
-            now(), self.leases.current(service.name)
+            now(), self.leases.required_epoch(service.name, epoch)
         )
 
     async def _acquire_lease(
-        self, service: Service, request: StatementRequest
+        self, service: Service, request: StatementRequest, reads: bool = False
     ) -> int | Failure:
         """Return the epoch whose primary the statement may use."""
         return await self.leases.acquire(
-            service.name, request.connection_wait_s(now())
+            service.name, request.connection_wait_s(now()), reads
         )
 
     async def _verify_lease(
--- a/chivescale/relay/_host.py
+++ b/chivescale/relay/_host.py
@@ -76,7 +76,9 @@
         more of them idle for each workspace.
     endpoints_fenced : bool
         Whether an endpoint refuses writes as soon as another one was promoted
-        in its place. If not, this host uses a primary only under a lease.
+        in its place. If not, this host uses a primary only under a lease. If
+        so, it needs leases only for writes to services with synchronous
+        replicas.
     """
 
     name: str
@@ -136,7 +138,7 @@
         self.services: dict[str, Service] = {}
         self.by_id: dict[str, Endpoint] = {}
         self.sessions: set[ClientSession] = set()
-        self.leases = None if settings.endpoints_fenced else TermLeases()
+        self.leases = TermLeases(settings.endpoints_fenced)
         self.local_executor = Executor(self.service, self.leases)
         self.executor = Forwarder(
             settings.name, settings.zone, self.local_executor, rng
@@ -235,7 +237,7 @@
             task.cancel()
         for endpoint in self.by_id.values():
             endpoint.close()
-        if self.leases is not None:
+        if self.leases.needed:
             await self.follower.release_leases()
         await self.http_client.close()
 
@@ -263,6 +265,11 @@
             options.name: options.max_connections
             for options in catalog.services
         }
+        self.leases.guard(
+            options.name
+            for options in catalog.services
+            if options.sync_replicas
+        )
         self._assign_gateways()
         self._open_waiting_sessions()
         log_event(
--- a/chivescale/relay/_read_barrier.py
+++ b/chivescale/relay/_read_barrier.py
@@ -10,7 +10,7 @@
 from chivescale.relay._pool import ANY_WORKSPACE
 from chivescale.relay._release import ConnectionReleaser
 from chivescale.relay._request import StatementRequest, failure_from
-from chivescale.relay._term_leases import TermLeases, Unleased
+from chivescale.relay._term_leases import TermLeases
 
 # A confirmed position is refreshed in the background when its age exceeds
 # this fraction of the accepted staleness.
@@ -28,7 +28,7 @@
     ----------
     releaser : ConnectionReleaser
         Returns the connections used for queries to their pools.
-    leases : TermLeases or Unleased
+    leases : TermLeases
         Leases that the use of a primary requires.
 
     Attributes
@@ -37,9 +37,7 @@
         Latest query by service.
     """
 
-    def __init__(
-        self, releaser: ConnectionReleaser, leases: TermLeases | Unleased
-    ):
+    def __init__(self, releaser: ConnectionReleaser, leases: TermLeases):
         self.releaser = releaser
         self.leases = leases
         self.pending: dict[str, asyncio.Task] = {}
@@ -92,12 +90,14 @@
             return Failure(ErrorKind.FRESHNESS_UNPROVED, reason)
 
     async def _query_primary(self, service: Service) -> Failure | None:
-        epoch = await self.leases.acquire(service.name, BARRIER_TIMEOUT_S)
+        epoch = await self.leases.acquire(
+            service.name, BARRIER_TIMEOUT_S, reads=True
+        )
         if is_failure(epoch):
             return epoch
         failure = no_primary_failure(service)
         for endpoint in service.primary_candidates(
-            now(), self.leases.current(service.name)
+            now(), self.leases.required_epoch(service.name, epoch)
         )[:MAX_PRIMARIES_QUERIED]:
             connection = await endpoint.pool.acquire(
                 0, BARRIER_TIMEOUT_S, {}, None, ANY_WORKSPACE
--- a/chivescale/relay/_term_leases.py
+++ b/chivescale/relay/_term_leases.py
@@ -9,8 +9,10 @@
 from chivescale.lease import Epoch, LeaseAnswer, LeaseHolder
 from chivescale.telemetry import COUNTERS, log_decision, log_event
 
-# Epoch index of statements on endpoints that need no lease.
+# Epoch index of statements that need no lease: those of services without
+# leases, and reads where endpoints are fenced.
 UNLEASED = -1
+READ_UNLEASED = -2
 # While an epoch is replaced, writes already sent to a primary that works have
 # this long to finish; otherwise they take this long at most to fail.
 PLANNED_DRAIN_S = 0.25
@@ -23,8 +25,17 @@
 class TermLeases:
     """Leases of an entry host and the statements that wait for them.
 
+    Parameters
+    ----------
+    endpoints_fenced : bool
+        Whether an endpoint refuses writes as soon as another one was promoted
+        in its place. If so, only writes to guarded services need leases;
+        otherwise every use of a primary does.
+
     Attributes
     ----------
+    guarded : frozenset of str
+        Services with synchronous replicas.
     holder : LeaseHolder
         Epochs and grants.
     changed : asyncio.Event
@@ -36,7 +47,9 @@
         Time of the latest answer of a coordinator.
     """
 
-    def __init__(self):
+    def __init__(self, endpoints_fenced: bool = False):
+        self.endpoints_fenced = endpoints_fenced
+        self.guarded: frozenset[str] = frozenset()
         self.holder = LeaseHolder()
         self.changed = asyncio.Event()
         self.idle = asyncio.Event()
@@ -45,6 +58,34 @@
         )
         self.applied_at = 0.0
 
+    @property
+    def needed(self) -> bool:
+        """Whether this host has to ask for leases."""
+        return not self.endpoints_fenced or bool(self.guarded)
+
+    @property
+    def awaits_first_grants(self) -> bool:
+        """Whether writes need leases and no grant is known."""
+        return bool(self.guarded) and not self.holder.quorums
+
+    def guard(self, services: typing.Iterable[str]) -> None:
+        """Set the services whose writes need leases on any deployment."""
+        guarded = frozenset(services)
+        if guarded - self.guarded:
+            # The first grants are on their way.
+            self.applied_at = now()
+        self.guarded = guarded
+
+    def needs_lease(self, service: str, reads: bool = False) -> bool:
+        """Return whether a statement on the primary needs a lease.
+
+        A primary that is fenced begins no transaction once its successor
+        leads, so reads there are never stale.
+        """
+        if not self.endpoints_fenced:
+            return True
+        return not reads and service in self.guarded
+
     def apply(self, answer: LeaseAnswer, sent_at: float) -> None:
         """Apply epochs and grants from a coordinator."""
         self.applied_at = time = now()
@@ -69,8 +110,15 @@
         )
 
     def covers(self, services: typing.Iterable[str], time: float) -> bool:
-        """Return whether leases on all services are held until `time`."""
-        return all(self.holder.held_until(name) > time for name in services)
+        """Return whether the leases that services need last until `time`.
+
+        While a primary is being replaced, there are none to be had.
+        """
+        return all(
+            self.holder.held_until(name) > time
+            for name in services
+            if self.needs_lease(name) and self.current(name).open
+        )
 
     async def confirm(self) -> int:
         """Stop using replaced epochs, after the writes sent under them.
@@ -104,11 +152,36 @@
         """Return the current epoch of a service."""
         return self.holder.epoch(service)
 
+    def required_epoch(self, service: str, index: int) -> Epoch | None:
+        """Return the epoch that names the primary for a statement.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        index : int
+            Result of `acquire`.
+
+        Returns
+        -------
+        Epoch or None
+            None if the claims of the endpoints count.
+        """
+        unleased = index in (UNLEASED, READ_UNLEASED)
+        return None if unleased else self.current(service)
+
     def holds(self, service: str, index: int, time: float) -> bool:
         """Return whether the lease on an epoch covers `time`."""
+        if index == READ_UNLEASED:
+            return True
+        if index == UNLEASED:
+            # The configuration may have guarded the service since.
+            return not self.needs_lease(service)
         return self.holder.holds(service, index, time)
 
-    async def acquire(self, service: str, wait_s: float) -> int | Failure:
+    async def acquire(
+        self, service: str, wait_s: float, reads: bool = False
+    ) -> int | Failure:
         """Return the index of the current epoch once a lease on it is held.
 
         Parameters
@@ -117,12 +190,18 @@
             Name of the service.
         wait_s : float
             Maximum wait in seconds.
+        reads : bool
+            Whether the statement or transaction only reads.
 
         Returns
         -------
         int or Failure
-            ``NO_LEASE`` if there is no lease in time.
+            ``NO_LEASE`` if there is no lease in time, ``NO_PRIMARY`` if the
+            primary is being replaced. An index without an epoch if no lease
+            is needed.
         """
+        if not self.needs_lease(service, reads):
+            return READ_UNLEASED if reads else UNLEASED
         deadline = now() + wait_s
         while True:
             index = self.current(service).index
@@ -162,6 +241,9 @@
     def _no_lease_failure(self, service: str, index: int) -> Failure:
         epoch = self.current(service)
         age_s = now() - self.holder.held_until(service)
+        if not epoch.open:
+            reason = f"the primary of {service} is being replaced"
+            return Failure(ErrorKind.NO_PRIMARY, reason)
         if epoch.index != index:
             cause = f"epoch {epoch.index} of {epoch.endpoint} began"
         elif self.holder.held_until(service):
@@ -183,31 +265,3 @@
         if not self.in_flight[service, index]:
             del self.in_flight[service, index]
             self.idle.set()
-
-
-class Unleased:
-    """Stands for leases where endpoints refuse writes by themselves."""
-
-    def current(self, service: str) -> Epoch | None:
-        """Return None: the claims of the endpoints count."""
-        return None
-
-    def holds(self, service: str, index: int, time: float) -> bool:
-        """Return True."""
-        return True
-
-    async def acquire(self, service: str, wait_s: float) -> int | Failure:
-        """Return at once."""
-        return UNLEASED
-
-    async def verify(
-        self, service: str, index: int, wait_s: float
-    ) -> Failure | None:
-        """Return at once."""
-        return None
-
-    def begin_write(self, service: str, index: int) -> None:
-        """Do nothing."""
-
-    def end_write(self, service: str, index: int) -> None:
-        """Do nothing."""
