Keep commits that callers were told of over every promotion

Cause: a promotion compared only the replicas that the coordinators knew. A commit whose only holder had crashed before its first heartbeat, had deregistered, was forgotten after 30 s or came back with an empty log was lost when the primary failed as well: the others were promoted without it.

Change: an entry host reports, with its polls, a position per guarded service that is not beyond its last acknowledged commit. Coordinators pass it on with their answers to a revocation, so it also reaches a coordinator that began to lead afterwards. No endpoint below that position is promoted or trusted as leader; the log line no_successor gives the position.

--- a/chivescale/coordinator/_guarded.py
+++ b/chivescale/coordinator/_guarded.py
@@ -87,8 +87,12 @@
         # Another epoch may have begun, in which entry hosts write.
         return False
     ordered = host.leases.epoch(service).endpoint
+    acknowledged = host.leases.acknowledged.get(service)
     survey = await _survey_replicas(promoter, watched, dead)
-    leader = survey.leader if host.settings.endpoints_fenced else ""
+    leader, required = survey.leader, survey.required
+    if required is None or (acknowledged and required < acknowledged):
+        # It may not know that it was replaced, or has lost its log.
+        leader, required = "", None
     if leader and not ordered and _stays(promoter, leader):
         # No order was sent since entry hosts wrote to it.
         return await _open_epoch(promoter, watched, leader, dead)
@@ -98,7 +102,8 @@
             survey.candidates,
             host.sync_replicas(service),
             ordered,
-            survey.required,
+            required,
+            acknowledged,
         )
     if is_failure(successor):
         log_event(
--- a/chivescale/coordinator/_leases.py
+++ b/chivescale/coordinator/_leases.py
@@ -3,12 +3,15 @@
 import asyncio
 import zlib
 
+import msgspec
+
 from chivescale.agreement import COMMAND
 from chivescale.clock import now
 from chivescale.coordinator._messages import (
     Command,
     LeaseRequest,
     OrderPromotion,
+    RevokeAnswer,
     RevokeRequest,
 )
 from chivescale.coordinator._replicated import promotion_epoch
@@ -23,7 +26,7 @@
     is_revoked,
     unconfirmed_hosts,
 )
-from chivescale.messages import NO_LEASES, WatchRequest, decode
+from chivescale.messages import NO_LEASES, Position, WatchRequest, decode
 from chivescale.telemetry import COUNTERS, log_event
 
 # Interval at which a coordinator renews the grants that it passes on.
@@ -52,6 +55,9 @@
         Grants made and received.
     quorum_changed_at : float
         Time at which this coordinator noticed the latest set of voters.
+    acknowledged : dict of str to Position
+        Highest position of each service that an entry host has reported as
+        confirmed to a caller.
     """
 
     def __init__(self, host):
@@ -60,6 +66,7 @@
         self.quorum = ""
         self.quorum_changed_at = now()
         self.confirmed = asyncio.Event()
+        self.acknowledged: dict[str, Position] = {}
 
     @property
     def enabled(self) -> bool:
@@ -142,12 +149,24 @@
 
     def record_request(self, request: WatchRequest) -> None:
         """Record what an entry host confirms with its poll."""
+        self._record_acknowledged(request.acknowledged)
         if request.lease_index == NO_LEASES:
             self.grantor.release(request.host.name)
             return
         self.grantor.record_request(request.host.name, request.lease_index)
         self.confirmed.set()
 
+    def _record_acknowledged(self, positions: dict[str, Position]) -> None:
+        for service, position in positions.items():
+            known = self.acknowledged.get(service, position)
+            self.acknowledged[service] = max(known, position)
+
+    def _forget_unguarded(self) -> None:
+        """Drop the positions of services that may lose commits now."""
+        for service in list(self.acknowledged):
+            if not self.guards(service):
+                del self.acknowledged[service]
+
     def has_news(self, request: WatchRequest) -> bool:
         """Return whether an epoch began that the host does not know."""
         index = request.lease_index
@@ -175,6 +194,7 @@
         while True:
             await asyncio.sleep(EXCHANGE_INTERVAL_S)
             own = self.host.settings.address
+            self._forget_unguarded()
             if not self._in_use() or not self.view().is_voter:
                 continue
             for address in self._voters():
@@ -204,14 +224,17 @@
             request.sender, request.index, self.view(), now()
         )
 
-    async def on_revoke(self, request: RevokeRequest) -> RevocationStatus:
+    async def on_revoke(self, request: RevokeRequest) -> RevokeAnswer:
         """Withdraw from older epochs; wait until the hosts confirm."""
         deadline = now() + REVOKE_WAIT_S
         while True:
             status = self._status(request)
             left_s = deadline - now()
             if left_s <= 0 or (status.withdrawn and not status.unconfirmed_s):
-                return status
+                return RevokeAnswer(
+                    **msgspec.structs.asdict(status),
+                    acknowledged=dict(self.acknowledged),
+                )
             self.confirmed.clear()
             try:
                 async with asyncio.timeout(min(left_s, CHECK_INTERVAL_S)):
@@ -329,11 +352,12 @@
                     member,
                     "POST",
                     "/v1/revoke",
-                    RevocationStatus,
+                    RevokeAnswer,
                     request,
                     timeout_s=CALL_TIMEOUT_S + REVOKE_WAIT_S,
                 )
             if not is_failure(status):
+                self._record_acknowledged(status.acknowledged)
                 statuses[member] = (now(), status)
                 changed.set()
                 if status.withdrawn and not status.unconfirmed_s:
--- a/chivescale/coordinator/_messages.py
+++ b/chivescale/coordinator/_messages.py
@@ -5,8 +5,8 @@
 import msgspec
 
 from chivescale.agreement import Member
-from chivescale.lease import Epoch
-from chivescale.messages import Elements, EntryHostRecord
+from chivescale.lease import Epoch, RevocationStatus
+from chivescale.messages import Elements, EntryHostRecord, Position
 from chivescale.registry import EndpointBeat
 
 
@@ -157,6 +157,19 @@
     term: int
 
 
+class RevokeAnswer(RevocationStatus, frozen=True):
+    """Status of the former epochs and what callers were told under them.
+
+    Attributes
+    ----------
+    acknowledged : dict of str to Position
+        Highest position of each service that an entry host has reported to
+        this coordinator. Earlier builds send none.
+    """
+
+    acknowledged: dict[str, Position] = {}
+
+
 class GroupStatus(msgspec.Struct, frozen=True):
     """State of the group as one coordinator knows it.
 
--- a/chivescale/messages/_watch.py
+++ b/chivescale/messages/_watch.py
@@ -4,6 +4,7 @@
 
 from chivescale.lease import LeaseAnswer
 from chivescale.messages._codec import Elements
+from chivescale.messages._endpoint import Position
 from chivescale.registry import EndpointBeat
 
 # Reported by a host that uses no leases, and by one that gives them up.
@@ -67,6 +68,9 @@
     lease_index : int
         The host uses no epoch with a lower index; ``NO_LEASES`` if it uses
         no leases.
+    acknowledged : dict of str to Position
+        A position, by service with synchronous replicas, that is not beyond
+        the last commit which the host has confirmed to a caller.
     """
 
     host: EntryHostRecord
@@ -78,6 +82,7 @@
     suspects: tuple[str, ...]
     wait_ms: int
     lease_index: int = NO_LEASES
+    acknowledged: dict[str, Position] = {}
 
 
 class WatchAnswer(msgspec.Struct, frozen=True):
--- a/chivescale/promotion/_choice.py
+++ b/chivescale/promotion/_choice.py
@@ -29,6 +29,7 @@
     sync_replicas: int,
     ordered: str = "",
     required: Position | None = None,
+    acknowledged: Position | None = None,
 ) -> str | Failure:
     """Return the most advanced replica, or the one ordered before.
 
@@ -36,7 +37,8 @@
     than that did not answer, one that answered holds it. Otherwise an
     acknowledged commit could be lost, and no replica is chosen. If the last
     log entry of the primary is known, only replicas that have received it are
-    considered.
+    considered. Replicas that lack what callers were told of are never chosen:
+    the one that holds it may have terminated, or nobody knew of it.
 
     Parameters
     ----------
@@ -51,6 +53,8 @@
     required : Position or None
         Last log entry of the primary, to which nobody writes any more; None
         if it is not known.
+    acknowledged : Position or None
+        Position up to which callers were told of commits; None if unknown.
 
     Returns
     -------
@@ -73,6 +77,14 @@
         return Failure(ErrorKind.NO_QUORUM, reason)
     if not responding:
         return Failure(ErrorKind.NO_PRIMARY, "no replica answered")
+    if acknowledged is not None:
+        responding = [c for c in responding if c.received >= acknowledged]
+        if not responding:
+            reason = (
+                f"no replica has received {acknowledged}, up to which callers "
+                f"were told of commits"
+            )
+            return Failure(ErrorKind.NO_QUORUM, reason)
     preferred = [c for c in responding if not c.draining]
     latest_position = max(c.received for c in responding)
     if sync_replicas and required is None:
--- a/chivescale/promotion/tests/promotion.feature
+++ b/chivescale/promotion/tests/promotion.feature
@@ -48,6 +48,24 @@
       | a 3.12, b 3.13 draining          | 3.12     | a                   |
       | a 2.99, b 3.12 draining          | 3.12     | b                   |
 
+  Scenario Outline: Callers were told of commits
+    Guards against the promotion of a replica that lacks them, because the one
+    that holds them has terminated or was never known.
+
+    Given callers that were told of <position>, <sync> synchronous copies and replicas <replicas>
+    Then the successor is <successor>
+
+    Examples:
+      | replicas                | position | sync | successor            |
+      | a 3.10, b 3.12          | 3.12     | 1    | b                    |
+      | a 3.10, b 3.11          | 3.12     | 1    | none: callers        |
+      | a 3.10                  | 4.0      | 1    | none: callers        |
+      | a 4.0, b 3.99           | 4.0      | 1    | a                    |
+      | a 3.13, b 3.12 draining | 3.12     | 1    | a                    |
+      | a 3.12 draining, b 3.10 | 3.12     | 1    | a                    |
+      | a 3.12, b silent        | 3.12     | 1    | none: may hold       |
+      | a silent, b silent      | 3.12     | 1    | none: may hold       |
+
   Scenario Outline: Selection of the successor
     Given replicas <replicas> and <sync> synchronous copies
     Then the successor is <successor>
--- a/chivescale/promotion/tests/steps/promotion_steps.py
+++ b/chivescale/promotion/tests/steps/promotion_steps.py
@@ -102,6 +102,17 @@
     )
 
 
+@given(
+    "callers that were told of {position}, {sync:d} synchronous copies and"
+    " replicas {replicas}"
+)
+def replicas_and_callers(context, position, sync, replicas):
+    told = Position(*map(int, position.split(".")))
+    context.choice = choose_successor(
+        candidates_from(replicas), sync, acknowledged=told
+    )
+
+
 def candidates_from(replicas: str) -> list[Candidate]:
     candidates = []
     for text in replicas.split(", "):
--- a/chivescale/relay/_coordinator_watcher.py
+++ b/chivescale/relay/_coordinator_watcher.py
@@ -187,6 +187,7 @@
             suspects=self.suspects,
             wait_ms=wait_ms,
             lease_index=lease_index,
+            acknowledged=self.host.leases.acknowledged,
         )
         return await self.host.http_client.call(
             address,
--- a/chivescale/relay/_executor.py
+++ b/chivescale/relay/_executor.py
@@ -529,6 +529,7 @@
         Without the lease, another endpoint may have become primary before
         the write was committed, and its log may lack the write.
         """
+        before = endpoint.position
         self.leases.begin_write(service.name, epoch)
         try:
             outcome = await self._run(endpoint, connection, request)
@@ -541,6 +542,7 @@
             self.leases.end_write(service.name, epoch)
         if failure is not None:
             return Failure(ErrorKind.OUTCOME_UNKNOWN, failure.reason)
+        self.leases.record_commit(service.name, before, outcome.position)
         return outcome
 
     # Connections.
--- a/chivescale/relay/_term_leases.py
+++ b/chivescale/relay/_term_leases.py
@@ -7,6 +7,7 @@
 from chivescale.clock import now
 from chivescale.errors import ErrorKind, Failure
 from chivescale.lease import Epoch, LeaseAnswer, LeaseHolder
+from chivescale.messages import Position
 from chivescale.telemetry import COUNTERS, log_decision, log_event
 
 # Epoch index of statements that need no lease: those of services without
@@ -45,6 +46,9 @@
         not answered yet.
     applied_at : float
         Time of the latest answer of a coordinator.
+    acknowledged : dict of str to Position
+        Highest known position of each guarded service that is not beyond the
+        last commit confirmed to a caller.
     """
 
     def __init__(self, endpoints_fenced: bool = False):
@@ -57,6 +61,7 @@
             collections.Counter()
         )
         self.applied_at = 0.0
+        self.acknowledged: dict[str, Position] = {}
 
     @property
     def needed(self) -> bool:
@@ -75,6 +80,8 @@
             # The first grants are on their way.
             self.applied_at = now()
         self.guarded = guarded
+        for service in self.acknowledged.keys() - guarded:
+            del self.acknowledged[service]
 
     def needs_lease(self, service: str, reads: bool = False) -> bool:
         """Return whether a statement on the primary needs a lease.
@@ -259,6 +266,34 @@
         """Count a write that is about to be sent."""
         self.in_flight[service, index] += 1
 
+    def record_commit(
+        self,
+        service: str,
+        before: Position | None,
+        after: Position | None,
+    ) -> None:
+        """Record that a caller is told of a commit.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        before, after : Position or None
+            Positions that the primary reported before the commit was sent
+            and with its answer. The second one may count commits that no
+            replica has received yet.
+        """
+        if service not in self.guarded or after is None:
+            return
+        proved = Position(after.term, 0)
+        if before is not None and before.term == after.term:
+            if after.position <= before.position:
+                # The statement changed nothing.
+                return
+            proved = Position(after.term, before.position + 1)
+        known = self.acknowledged.get(service, proved)
+        self.acknowledged[service] = max(known, proved)
+
     def end_write(self, service: str, index: int) -> None:
         """Count the answer to a write, or its failure."""
         self.in_flight[service, index] -= 1
