Wait for the log of a replica that ended with the latest commits

Cause: a replica that deregisters leaves the comparison of the replicas at once. When the primary failed before the others had received what it had acknowledged, one of those was promoted. The positions reported by entry hosts show this only up to the last position that the writing host knew.

Change: after a replica has ended, the coordinator compares the others with the primary every 0.1 s. Until as many as have to acknowledge a commit have caught up, the replica counts as one that does not answer. It does not count if the server at its address has taken over its log. A coordinator that begins to lead takes ends older than 5 s as settled.

--- a/chivescale/coordinator/_promoter.py
+++ b/chivescale/coordinator/_promoter.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from chivescale.clock import now
+from chivescale.coordinator._departures import Departures
 from chivescale.coordinator._guarded import replace_guarded
 from chivescale.dialect import EndpointDialect, EndpointState
 from chivescale.errors import ErrorKind, Failure, is_failure
@@ -93,11 +94,13 @@
         self.links: dict[str, Link] = {}
         self.no_primary_since: dict[str, float] = {}
         self.demoted_at: dict[str, float] = {}
+        self.departures = Departures(self)
         self.task: asyncio.Task | None = None
 
     def begin(self) -> None:
         """Start without earlier observations when this host becomes leader."""
         self.end()
+        self.departures.begin()
         log_event("promoter_began", host=self.host.settings.name)
         self.task = asyncio.ensure_future(
             run_supervised("promoter", self._run, TICK_S)
@@ -116,6 +119,7 @@
             link.close()
         self.links.clear()
         self.no_primary_since.clear()
+        self.departures.end()
         self.host.distributor.share_suspects(())
 
     def record_opinions(self, report: ReachabilityReport) -> None:
@@ -143,6 +147,8 @@
             verdict = watched.detector.evaluate(now())
             if verdict is not Verdict.ALIVE:
                 suspects.append(watched.endpoint)
+            if verdict is Verdict.ALIVE and self.host.leases.guards(service):
+                self.departures.check(service, watched.endpoint)
             if watched.replacement is None and self._needs_replacement(
                 watched, verdict
             ):
--- a/chivescale/registry/_registry.py
+++ b/chivescale/registry/_registry.py
@@ -196,6 +196,22 @@
         ]
         return [entry for entry in entries if not entry.heartbeat.gone]
 
+    def deregistered(self, service: str) -> list[EndpointBeat]:
+        """Return the endpoints of a service that have announced their end.
+
+        Those whose address another endpoint has taken over are included.
+        """
+        entries = [
+            self.entries[endpoint]
+            for endpoint in sorted(self.by_service.get(service, ()))
+        ]
+        return [
+            entry.heartbeat
+            for entry in entries
+            if entry.heartbeat.gone
+            and entry.heartbeat.sequence == LAST_SEQUENCE
+        ]
+
 
 def _without_sequence(heartbeat: EndpointBeat) -> EndpointBeat:
     """Return a heartbeat without the field that always changes."""
