Resume the replicas of a guarded service every 2 s

Cause: a coordinator told the replicas to receive once, when it began to probe a primary. An order to pause that the platform carried out afterwards, or one from a coordinator that had been suspended, stopped the replicas for good: no commit was acknowledged any more, and no promotion was possible.

Change: the order to receive is repeated every 2 s while the epoch is open.

--- a/chivescale/coordinator/_promoter.py
+++ b/chivescale/coordinator/_promoter.py
@@ -37,6 +37,10 @@
 TAKEOVER_TIMEOUT_S = 3.0
 TAKEOVER_POLL_S = 0.05
 RETRY_DELAY_S = 0.2
+# Interval at which replicas that have to acknowledge commits are told to
+# receive. A pause may be carried out 12 s after it was ordered, or be ordered
+# by a coordinator that was suspended.
+RESUME_INTERVAL_S = 2.0
 # Time for a quorum to confirm that this host still leads.
 CONFIRM_TIMEOUT_S = 0.5
 # Endpoints send heartbeats every 1.2 s, so a primary is known after three.
@@ -353,11 +357,15 @@
         The probe begins a transaction, which takes no slot, so that busy
         endpoints answer as well.
         """
-        pauses_left = self.host.sync_replicas(watched.service) > 0
+        resume_at = now()
         while True:
-            if pauses_left and not self._is_closed_to_writes(watched):
-                await self.resume_replicas(watched)
-                pauses_left = False
+            if (
+                self.host.leases.guards(watched.service)
+                and now() >= resume_at
+                and not self._is_closed_to_writes(watched)
+            ):
+                self.host.run_in_background(self.resume_replicas(watched))
+                resume_at = now() + RESUME_INTERVAL_S
             sent_at = now()
             outcome = await self.check_primary(watched.endpoint)
             if not is_failure(outcome):
@@ -651,7 +659,7 @@
         ]
 
     async def resume_replicas(self, watched: WatchedPrimary) -> None:
-        """End replication pauses left behind by an earlier leader."""
+        """End pauses that were left behind or are carried out late."""
         text = self.dialect.resume_text()
         await asyncio.gather(
             *(
