Close the second link when two tasks open one to an endpoint

Cause: two tasks of the promoter that open a link to the same endpoint at the same time both stored theirs, and the first one stayed open unused. The comparison of replicas after an end and the orders to receive make that likelier.

Change: the task that is second closes its link and uses the stored one. No test; seen in the code.

--- a/chivescale/coordinator/_promoter.py
+++ b/chivescale/coordinator/_promoter.py
@@ -348,6 +348,11 @@
         )
         if is_failure(opened):
             return opened
+        link = self.links.get(endpoint)
+        if link is not None and link.usable:
+            # Another task has opened one meanwhile.
+            opened.close()
+            return link
         self.links[endpoint] = opened
         return opened
 
