Allow 3 s for every promotion that may still be under way

Cause: a promotion that the platform has accepted, but not answered, may end after another server was ordered. The coordinator waited 1 s from the moment at which that server led, and only for the endpoint named by the latest epoch. Entry hosts then wrote to a server that was replaced afterwards by one without these writes.

Change: the coordinator remembers every endpoint that it has ordered since the service was open. If the successor is not the only one, it waits until 3 s after the last order was accepted, as long as it allows an order with an answer. An endpoint of these that leads is ordered again, so that nothing outstanding changes the primary.

--- a/chivescale/coordinator/_guarded.py
+++ b/chivescale/coordinator/_guarded.py
@@ -23,9 +23,10 @@
 CATCH_UP_POLL_S = 0.02
 # Pause before a working primary that no replica can follow is tried again.
 HANDOVER_RETRY_S = 2.0
-# An order for another endpoint that was accepted, but whose answer was lost,
-# has been executed after this time.
-SETTLE_S = 1.0
+# A promotion that was accepted, but whose answer was lost, has been executed
+# after this time. The platform takes some hundred ms; 3 s are allowed, as for
+# a promotion that was answered.
+SETTLE_S = 3.0
 # Time for the coordinators to tell all entry hosts of an epoch.
 ANNOUNCE_TIMEOUT_S = 1.0
 
@@ -96,8 +97,9 @@
     if leader and not ordered and _stays(promoter, leader):
         # No order was sent since entry hosts wrote to it.
         return await _open_epoch(promoter, watched, leader, dead)
-    successor = ordered
-    if not leader or leader != ordered:
+    others = promoter.ordered.setdefault(service, set()) | {ordered}
+    successor = leader
+    if not leader or leader not in others:
         successor = choose_successor(
             survey.candidates,
             host.sync_replicas(service),
@@ -113,10 +115,15 @@
             await _open_epoch(promoter, watched, leader, dead)
             await asyncio.sleep(HANDOVER_RETRY_S)
         return False
-    if not await _promote(promoter, watched, successor, survey.leader, dead):
+    accepted_at = await _promote(
+        promoter, watched, successor, survey.leader, dead
+    )
+    if accepted_at is None:
         return False
-    if ordered not in ("", successor):
-        await asyncio.sleep(SETTLE_S)
+    if others - {"", successor}:
+        # One of these orders may have been accepted, and its answer lost,
+        # until the platform learned the token of the latest one.
+        await asyncio.sleep(accepted_at + SETTLE_S - now())
         if await promoter.check_primary(successor) is not True:
             return False
     return await _open_epoch(promoter, watched, successor, dead)
@@ -146,6 +153,7 @@
     index = await _begin_epoch(promoter, watched, endpoint, dead, opens=True)
     if index is None:
         return False
+    promoter.ordered.pop(watched.service, None)
     promoter.host.run_in_background(_announce(promoter, index))
     return True
 
@@ -281,15 +289,22 @@
 
 async def _promote(
     promoter, watched, successor: str, leader: str, dead: bool
-) -> bool:
-    """Order a promotion; return whether the successor leads."""
+) -> float | None:
+    """Order a promotion and wait until the successor leads.
+
+    Returns
+    -------
+    float or None
+        Time in seconds at which the platform had accepted the order; None if
+        it did not, or if the successor does not lead.
+    """
     host, service = promoter.host, watched.service
     token = await _begin_epoch(promoter, watched, successor, dead, opens=False)
     if token is None:
-        return False
+        return None
     if not host.settings.endpoints_fenced:
         if not await promoter.is_latest_order(service, token):
-            return False
+            return None
         leader = watched.endpoint
     outcome = await promoter.authority.promote(
         service, successor, host.settings.name, token
@@ -302,12 +317,12 @@
         token=token,
         outcome=outcome.name.lower(),
     )
+    promoter.ordered.setdefault(service, set()).add(successor)
     if outcome is not OrderOutcome.ACCEPTED:
-        return False
-    takeover = promoter.await_takeover(successor)
-    if leader in ("", successor):
-        return await takeover
-    _, taken_over = await asyncio.gather(
-        promoter.demote(service, leader), takeover
-    )
-    return taken_over
+        return None
+    accepted_at = now()
+    steps = [promoter.await_takeover(successor)]
+    if leader not in ("", successor):
+        steps.append(promoter.demote(service, leader))
+    taken_over, *_ = await asyncio.gather(*steps)
+    return accepted_at if taken_over else None
--- a/chivescale/coordinator/_promoter.py
+++ b/chivescale/coordinator/_promoter.py
@@ -88,6 +88,12 @@
         Protocol of the endpoints.
     authority : PromotionAuthority
         System that performs promotions.
+
+    Attributes
+    ----------
+    ordered : dict of str to set of str
+        Endpoints of each guarded service whose promotion this host has
+        ordered since the service was written to.
     """
 
     def __init__(self, host, dialect: EndpointDialect, authority):
@@ -98,6 +104,7 @@
         self.links: dict[str, Link] = {}
         self.no_primary_since: dict[str, float] = {}
         self.demoted_at: dict[str, float] = {}
+        self.ordered: dict[str, set[str]] = {}
         self.departures = Departures(self)
         self.task: asyncio.Task | None = None
 
@@ -123,6 +130,7 @@
             link.close()
         self.links.clear()
         self.no_primary_since.clear()
+        self.ordered.clear()
         self.departures.end()
         self.host.distributor.share_suspects(())
 
