Hear confirmations of hosts that have turned to another coordinator

Cause: the leader stopped asking a coordinator as soon as that one had withdrawn its own grants. A host that then turned to it, as hosts do when they lack a majority of grants, confirmed there unheard. The replacement waited until the grants of its former coordinator expired. What the host tells callers (its acknowledged positions) was not heard either.

Change: the leader asks all coordinators until the leases have ended.

--- a/chivescale/coordinator/_leases.py
+++ b/chivescale/coordinator/_leases.py
@@ -343,7 +343,11 @@
         statuses: dict[str, tuple[float, RevocationStatus]],
         changed: asyncio.Event,
     ) -> None:
-        """Ask one coordinator until it has withdrawn its grants."""
+        """Ask one coordinator until the caller knows enough.
+
+        A host whose grants another coordinator has made may turn to this one
+        and confirm here, even after this one has withdrawn its own.
+        """
         while True:
             if member == self.host.settings.address:
                 status = await self.on_revoke(request)
@@ -360,6 +364,4 @@
                 self._record_acknowledged(status.acknowledged)
                 statuses[member] = (now(), status)
                 changed.set()
-                if status.withdrawn and not status.unconfirmed_s:
-                    return
             await asyncio.sleep(RETRY_DELAY_S)
