Send no order to receive while a primary is suspected

Cause: the order to receive is repeated every 2 s. One without an answer, sent just before a primary is found dead, occupies the link on which the state of the replica is asked next, and the replica counts as silent for up to 0.3 s. Each order was logged.

Change: none is sent while the primary is suspected; the first one to the replicas of a primary is logged.

--- a/chivescale/coordinator/_promoter.py
+++ b/chivescale/coordinator/_promoter.py
@@ -65,6 +65,8 @@
         answered as the primary since.
     order_unanswered : bool
         Whether an order got no answer and may be executed later.
+    resumed : bool
+        Whether the replicas have been told to receive.
     """
 
     service: str
@@ -75,6 +77,7 @@
     replacement: asyncio.Task | None = None
     not_primary_since: float | None = None
     order_unanswered: bool = False
+    resumed: bool = False
 
 
 class Promoter:
@@ -375,6 +378,8 @@
             if (
                 self.host.leases.guards(watched.service)
                 and now() >= resume_at
+                # An order without an answer would delay a replacement.
+                and watched.detector.suspected_at is None
                 and not self._is_closed_to_writes(watched)
             ):
                 self.host.run_in_background(self.resume_replicas(watched))
@@ -680,7 +685,9 @@
                 for entry in self._replicas(watched)
             )
         )
-        log_event("replicas_resumed", service=watched.service)
+        if not watched.resumed:
+            watched.resumed = True
+            log_event("replicas_resumed", service=watched.service)
 
     async def query_state(
         self, endpoint: str, text: str
