Wait for the log of a replica that ended under every leader

Cause: a replica that ended before the others had received its commits was waited for while its record was kept, 60 s, and while the same coordinator led. A coordinator that began to lead more than 5 s later promoted a replica that lacked the commits.

Change: the leader keeps these replicas until their commits are held elsewhere or they run again, and sends them to the other coordinators when they change.

--- a/chivescale/coordinator/_departures.py
+++ b/chivescale/coordinator/_departures.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import collections.abc
 
 from chivescale.clock import now
 from chivescale.registry import EndpointBeat
@@ -13,8 +14,8 @@
 
 # Interval between two comparisons of the replicas with the primary.
 POLL_S = 0.1
-# A coordinator that begins to lead takes earlier terminations for settled: the
-# commits of that time have arrived, or the predecessor waited for them.
+# A coordinator that begins to lead takes earlier terminations for settled,
+# unless its predecessor has told it otherwise.
 INHERITED_S = 5.0
 
 
@@ -28,25 +29,32 @@
 
     Attributes
     ----------
+    awaited : dict of (str, int) to EndpointBeat
+        Last heartbeats of these replicas, by identifier and start. The
+        leader shares them, so that the next one does not take them for
+        settled.
     settled : set of (str, int)
-        Terminated endpoints, by identifier and start, whose commits enough
-        other replicas hold.
+        Terminated endpoints whose commits enough other replicas hold.
+    shared : tuple of EndpointBeat
+        What the other coordinators were told last.
     """
 
     def __init__(self, promoter):
         self.promoter = promoter
+        self.awaited: dict[tuple[str, int], EndpointBeat] = {}
         self.settled: set[tuple[str, int]] = set()
         self.tasks: dict[str, asyncio.Task] = {}
+        self.shared: tuple[EndpointBeat, ...] = ()
 
     def begin(self) -> None:
-        """Forget what this host observed when it led before."""
+        """Take over what the former leader knew."""
         self.end()
         registry, time = self.promoter.host.registry, now()
         self.settled = {
             _key(entry.heartbeat)
             for entry in registry.entries.values()
             if entry.heartbeat.gone and time - entry.received_at > INHERITED_S
-        }
+        } - self.awaited.keys()
 
     def end(self) -> None:
         """Cancel all comparisons."""
@@ -54,25 +62,60 @@
             task.cancel()
         self.tasks.clear()
 
+    def learn(self, beats: collections.abc.Iterable[EndpointBeat]) -> None:
+        """Replace the known terminations by those of the leader."""
+        self.awaited = {_key(beat): beat for beat in beats}
+        self.shared = tuple(self.awaited.values())
+
+    def update(self, service: str) -> None:
+        """Record new terminations; forget replicas that run again.
+
+        Other replicas hold what a terminated primary acknowledged. A replica
+        that was forgotten after a long silence is not recorded: it counted
+        as silent for that time.
+        """
+        registry = self.promoter.host.registry
+        for beat in registry.deregistered(service):
+            if not beat.primary and _key(beat) not in self.settled:
+                self.awaited[_key(beat)] = beat
+        for key, beat in list(self.awaited.items()):
+            entry = registry.entries.get(beat.endpoint)
+            if entry is not None and not entry.heartbeat.gone:
+                del self.awaited[key]
+
+    def share(self, unguarded: collections.abc.Container[str]) -> None:
+        """Tell the other coordinators of changes.
+
+        Parameters
+        ----------
+        unguarded : container of str
+            Services on which no replica has to acknowledge commits. Theirs
+            are forgotten.
+        """
+        for key, beat in list(self.awaited.items()):
+            if beat.service in unguarded:
+                del self.awaited[key]
+        awaited = tuple(self.awaited.values())
+        if awaited != self.shared:
+            self.shared = awaited
+            self.promoter.host.distributor.share_departures(awaited)
+
     def unsettled(self, service: str) -> list[EndpointBeat]:
         """Return the terminated replicas that may hold the only copy.
 
-        Other replicas hold what a terminated primary acknowledged. The log of
-        a replica that announced its end is transferred to the server that
-        takes over its address. One that was forgotten after a long silence is
-        not among them: it counted as silent for that time.
+        The log of a replica that announced its end is transferred to the
+        server that takes over its address.
         """
-        registry = self.promoter.host.registry
+        self.update(service)
         taken = {
             entry.heartbeat.address
-            for entry in registry.service_endpoints(service)
+            for entry in self.promoter.host.registry.service_endpoints(service)
         }
         return [
             beat
-            for beat in registry.deregistered(service)
-            if not beat.primary
+            for beat in self.awaited.values()
+            if beat.service == service
             and not (beat.draining and beat.address in taken)
-            and _key(beat) not in self.settled
         ]
 
     def check(self, service: str, primary: str) -> None:
@@ -113,7 +156,9 @@
                 if replica is not None and replica.received >= state.received
             ]
             if len(holders) >= needed:
-                self.settled |= {_key(beat) for beat in beats}
+                for beat in beats:
+                    self.settled.add(_key(beat))
+                    self.awaited.pop(_key(beat), None)
                 log_event(
                     "departures_settled",
                     service=service,
--- a/chivescale/coordinator/_distributor.py
+++ b/chivescale/coordinator/_distributor.py
@@ -208,6 +208,11 @@
         for address in self.peer_addresses():
             self._send_gossip(address, Gossip(suspects=suspects))
 
+    def share_departures(self, beats: tuple[EndpointBeat, ...]) -> None:
+        """Send the replicas that a successor has to wait for."""
+        for address in self.peer_addresses():
+            self._send_gossip(address, Gossip(departures=beats))
+
     def _send_gossip(self, address: str, gossip: Gossip) -> asyncio.Task:
         task = asyncio.ensure_future(
             self.host.client.call(
@@ -257,6 +262,8 @@
             self.zones[gossip.sender] = gossip.zone
         if gossip.suspects is not None:
             self.suspects = gossip.suspects
+        if gossip.departures is not None and not self.host.leading:
+            self.host.promoter.departures.learn(gossip.departures)
         # Most heartbeats tell nothing new.
         if (self.host.registry.revision, self.suspects) != known:
             self.notify_waiters()
--- a/chivescale/coordinator/_messages.py
+++ b/chivescale/coordinator/_messages.py
@@ -87,6 +87,9 @@
         Last contacts of entry hosts.
     suspects : tuple of str or None
         Suspected endpoints; only the leader sends them.
+    departures : tuple of EndpointBeat or None
+        Terminated replicas that may hold the only copy of a commit; only the
+        leader sends them.
     sender, zone : str
         Address and availability zone of the sending coordinator.
     """
@@ -96,6 +99,7 @@
     beats: Elements[EndpointBeat] = ()
     hosts: Elements[HostSeen] = ()
     suspects: tuple[str, ...] | None = None
+    departures: tuple[EndpointBeat, ...] | None = None
 
 
 class Callers(msgspec.Struct, frozen=True):
--- a/chivescale/coordinator/_promoter.py
+++ b/chivescale/coordinator/_promoter.py
@@ -154,6 +154,7 @@
         for service in set(self.watched) - set(services):
             _cancel_tasks(self.watched.pop(service))
         suspects = []
+        guarded = set(filter(self.host.leases.guards, services))
         for service in services:
             self._demote_former_primaries(service)
             watched = self._watch_primary(service)
@@ -162,7 +163,7 @@
             verdict = watched.detector.evaluate(now())
             if verdict is not Verdict.ALIVE:
                 suspects.append(watched.endpoint)
-            if verdict is Verdict.ALIVE and self.host.leases.guards(service):
+            if verdict is Verdict.ALIVE and service in guarded:
                 self.departures.check(service, watched.endpoint)
             if watched.replacement is None and self._needs_replacement(
                 watched, verdict
@@ -170,6 +171,7 @@
                 watched.replacement = asyncio.ensure_future(
                     self._replace(watched, verdict is Verdict.DEAD)
                 )
+        self.departures.share(set(services) - guarded)
         self.host.distributor.share_suspects(tuple(sorted(suspects)))
 
     def _demote_former_primaries(self, service: str) -> None:
