Name the replicas that ended when no successor is found

Cause: no_successor said that a replica did not answer, although every known one did: it had terminated.

Change: the log line has their identifiers.

--- a/chivescale/coordinator/_guarded.py
+++ b/chivescale/coordinator/_guarded.py
@@ -108,8 +108,13 @@
             acknowledged,
         )
     if is_failure(successor):
+        ended = promoter.departures.unsettled(service)
         log_event(
-            "no_successor", "warning", service=service, reason=successor.reason
+            "no_successor",
+            "warning",
+            service=service,
+            reason=successor.reason,
+            ended=",".join(beat.endpoint for beat in ended),
         )
         if leader and not ordered:
             await _open_epoch(promoter, watched, leader, dead)
