Forget ended replicas of services that are gone

Change: records of replicas that ended are dropped with their service, and the list of settled ones is pruned. Found by reading the code.

--- a/chivescale/coordinator/_departures.py
+++ b/chivescale/coordinator/_departures.py
@@ -83,17 +83,17 @@
             if entry is not None and not entry.heartbeat.gone:
                 del self.awaited[key]
 
-    def share(self, unguarded: collections.abc.Container[str]) -> None:
+    def share(self, guarded: collections.abc.Container[str]) -> None:
         """Tell the other coordinators of changes.
 
         Parameters
         ----------
-        unguarded : container of str
-            Services on which no replica has to acknowledge commits. Theirs
-            are forgotten.
+        guarded : container of str
+            Services on which replicas have to acknowledge commits. The
+            replicas of others are forgotten.
         """
         for key, beat in list(self.awaited.items()):
-            if beat.service in unguarded:
+            if beat.service not in guarded:
                 del self.awaited[key]
         awaited = tuple(self.awaited.values())
         if awaited != self.shared:
@@ -137,14 +137,14 @@
         Whatever a terminated replica acknowledged is in the log that the
         primary reports now.
         """
-        promoter = self.promoter
+        promoter, registry = self.promoter, self.promoter.host.registry
         text = promoter.dialect.state_text()
         state = await promoter.query_state(primary, text)
         needed = promoter.host.sync_replicas(service)
         while state is not None and state.primary:
             names = [
                 entry.heartbeat.endpoint
-                for entry in promoter.host.registry.service_endpoints(service)
+                for entry in registry.service_endpoints(service)
                 if entry.heartbeat.endpoint != primary
             ]
             replicas = await asyncio.gather(
@@ -156,9 +156,14 @@
                 if replica is not None and replica.received >= state.received
             ]
             if len(holders) >= needed:
-                for beat in beats:
-                    self.settled.add(_key(beat))
-                    self.awaited.pop(_key(beat), None)
+                keys = {_key(beat) for beat in beats}
+                for key in keys:
+                    self.awaited.pop(key, None)
+                self.settled = {
+                    key
+                    for key in self.settled | keys
+                    if key[0] in registry.entries
+                }
                 log_event(
                     "departures_settled",
                     service=service,
--- a/chivescale/coordinator/_promoter.py
+++ b/chivescale/coordinator/_promoter.py
@@ -171,7 +171,8 @@
                 watched.replacement = asyncio.ensure_future(
                     self._replace(watched, verdict is Verdict.DEAD)
                 )
-        self.departures.share(set(services) - guarded)
+        if services:
+            self.departures.share(guarded)
         self.host.distributor.share_suspects(tuple(sorted(suspects)))
 
     def _demote_former_primaries(self, service: str) -> None:
