Report a suspected primary as reachable only if it responds now

Cause: an entry host that had a response within the last 150 ms reported the primary as reachable without asking it. After a crash of a busy primary, two of three hosts did so 30 ms later, and their reports count for a second. The primary was not replaced in that time.

Change: a host with a recent response waits 50 ms for another one, which needs no connection, and otherwise opens one, as other hosts do.

--- a/chivescale/relay/_coordinator_watcher.py
+++ b/chivescale/relay/_coordinator_watcher.py
@@ -52,8 +52,13 @@
 # zone.
 SAME_ZONE_RETRY_S = 5.0
 # A suspected endpoint is reported as reachable if it responds within this
-# time, or has responded no longer ago than this.
+# time.
 REACHABILITY_TIMEOUT_S = 0.15
+# One that has responded no longer ago than that usually responds again within
+# this time, which saves a connection. The earlier response does not count: it
+# may precede a crash by milliseconds.
+NEXT_RESPONSE_WAIT_S = 0.05
+RESPONSE_CHECK_S = 0.01
 
 
 def first_poll_pacing(failures: int) -> tuple[float, float]:
@@ -327,7 +332,7 @@
         if not self.host.executor.serves(endpoint.beat.service):
             # Connections are scarce, so only gateways check the endpoint.
             return None
-        if now() - endpoint.latency_measured_at < REACHABILITY_TIMEOUT_S:
+        if await _responds_again(endpoint):
             return True
         heartbeat = endpoint.beat
         connection = await open_link(
@@ -342,3 +347,15 @@
             return connection.kind is ErrorKind.ENDPOINT_FULL
         connection.close()
         return True
+
+
+async def _responds_again(endpoint) -> bool:
+    """Return whether a response follows those of the last moment."""
+    started = now()
+    if started - endpoint.latency_measured_at >= REACHABILITY_TIMEOUT_S:
+        return False
+    while now() - started < NEXT_RESPONSE_WAIT_S:
+        await asyncio.sleep(RESPONSE_CHECK_S)
+        if endpoint.latency_measured_at > started:
+            return True
+    return False
