Wait only for grants to coordinators that may support former epochs

Cause: a revocation waited until the last grant to a coordinator that did not answer had expired, and each renewal at another coordinator extended that. Where the leader does not reach a coordinator that others reach, as with a cut between two zones, no replacement ended.

Change: grants that a coordinator makes once it knows the new epoch are not waited for: a host accepts none of them for an epoch below.

--- a/chivescale/lease/_grantor.py
+++ b/chivescale/lease/_grantor.py
@@ -80,8 +80,9 @@
         Committed epochs.
     hosts : dict of str to HostGrant
         Grants made to entry hosts.
-    peers : dict of str to float
-        Time at which the last grant to each other coordinator ends.
+    peers : dict of str to dict of int to float
+        Time at which the last grants to each other coordinator end, by the
+        highest epoch index known here when they were made.
     received : dict of str to ReceivedGrant
         Latest grant of each other coordinator.
     """
@@ -100,7 +101,7 @@
         self.started_at = now
         self.table = EpochTable()
         self.hosts: dict[str, HostGrant] = {}
-        self.peers: dict[str, float] = {}
+        self.peers: dict[str, dict[int, float]] = {}
         self.received: dict[str, ReceivedGrant] = {}
 
     def learn(self, epochs: collections.abc.Mapping[str, Epoch]) -> None:
@@ -186,7 +187,8 @@
         grants = ()
         if view.is_voter:
             grants = (self._own_grant(view),)
-            self.peers[peer] = now + GRANT_S
+            ends = self.peers.setdefault(peer, {})
+            ends[self.table.index] = now + GRANT_S
         return LeaseAnswer(
             index=self.table.index,
             epochs=self.table.since(index),
@@ -242,13 +244,19 @@
             for name, grant in self.hosts.items()
             if grant.confirmed >= index
         )
-        passed_s = {peer: until - now for peer, until in self.peers.items()}
+        # A host that is told of a later grant is told of the epoch as well.
+        passed_s = {
+            peer: max(former) - now
+            for peer, ends in self.peers.items()
+            if (former := [ends[i] for i in ends if i < index])
+        }
         return RevocationStatus(withdrawn, unconfirmed_s, confirmed, passed_s)
 
     def _drop_ended(self, now: float) -> None:
         for name, grant in list(self.hosts.items()):
             if grant.until <= now:
                 del self.hosts[name]
-        for peer, until in list(self.peers.items()):
-            if until <= now:
+        for peer, ends in list(self.peers.items()):
+            self.peers[peer] = {i: end for i, end in ends.items() if end > now}
+            if not self.peers[peer]:
                 del self.peers[peer]
--- a/chivescale/lease/tests/lease.feature
+++ b/chivescale/lease/tests/lease.feature
@@ -71,6 +71,22 @@
     Given a coordinator that passes on a grant of which 0.9 s are left
     Then a host is granted at most 0.9 s of it
 
+  Scenario Outline: Grants to other coordinators that a revocation waits for
+    Guards against a promotion that waits as long as a coordinator which the
+    leader does not reach renews its grants at another one.
+
+    Given a coordinator that started 100 s ago and knows epoch 5
+    And another coordinator that renewed its grant <before> s ago
+    And that learned epoch 7 <learned> s ago
+    And another coordinator that renewed its grant <after> s ago
+    Then revocation up to epoch 7 waits <waits> s for grants that are passed on
+
+    Examples:
+      | before | learned | after | waits |
+      | 0.6    | 0.5     | 0.1   | 0.5   |
+      | 2.0    | 0.5     | 0.1   | 0.0   |
+      | 0.4    | 0.4     | 0.0   | 0.7   |
+
   Scenario Outline: The leader orders a promotion
     Given members that answered <answers>
     Then former leases <ended> after <s> s
@@ -109,4 +125,4 @@
       | no leases            | 2    | 2000   |
       | answers not verified | 4    | 10000  |
       | answers not verified | 2    | 10000  |
-      | claimant promoted    | 4    | 30000  |
+      | claimant promoted    | 8    | 30000  |
--- a/chivescale/lease/tests/steps/lease_steps.py
+++ b/chivescale/lease/tests/steps/lease_steps.py
@@ -144,6 +144,25 @@
     assert confirmed == (outcome == "confirmed"), status
 
 
+@given("another coordinator that renewed its grant {ago:g} s ago")
+def peer_renewed(context, ago):
+    context.grantor.answer_peer("b", 0, VIEW, START_S - ago)
+
+
+@given("that learned epoch {index:d} {ago:g} s ago")
+def learned(context, index, ago):
+    context.grantor.learn({SERVICE: Epoch(index, "c")})
+
+
+@then(
+    "revocation up to epoch {index:d} waits {seconds:g} s for grants that are"
+    " passed on"
+)
+def waits_for_passed(context, index, seconds):
+    passed_s = context.grantor.status(index, START_S).passed_s
+    assert abs(passed_s.get("b", 0.0) - seconds) < 0.001, passed_s
+
+
 @given("a coordinator that passes on a grant of which {left:g} s are left")
 def passes_on(context, left):
     context.grantor = Grantor("a", START_S - 100)
