Run the features of a directory without those below it

Cause: for a directory, behave also runs feature files in the directories below it. platform/tests/replacements, which is a run of its own, ran a second time within the run of platform/tests.

Change: the files are named one by one. Every scenario still runs, once.

--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -52,15 +52,22 @@
 
 
 def run_features(directory: pathlib.Path) -> Result:
-    """Run the features of one directory and count scenarios."""
+    """Run the features of one directory and count scenarios.
+
+    Its files are named one by one: for a directory, behave also runs those
+    below it, which are a run of their own.
+    """
     name = str(directory.relative_to(ROOT))
+    files = sorted(
+        str(f.relative_to(ROOT)) for f in directory.glob("*.feature")
+    )
     command = [
         str(BIN / "behave"),
         "--no-color",
         "--format=plain",
         "--no-capture",
         "--tags=not @known_red",
-        name,
+        *files,
     ]
     done = _run(command)
     passed = _count(done.stdout, "passed")
