Ignore replicas that ended if the last primary answers

Cause: a replica that ended was waited for although every server of the service, and so the last primary, answered. A coordinator that restarts takes the ended replicas that it recalls for new ones. Without a primary that leads they are never settled, and the service stayed without one.

Change: they count only if a server does not answer, or an endpoint that reported to lead is gone.

--- a/chivescale/coordinator/_guarded.py
+++ b/chivescale/coordinator/_guarded.py
@@ -257,11 +257,16 @@
             continue
         received = state.received if state is not None else None
         candidates.append(Candidate(name, received, entry.heartbeat.draining))
-    candidates += [
-        Candidate(beat.endpoint, None, draining=True)
-        for beat in promoter.departures.unsettled(watched.service)
-        if beat.endpoint != watched.endpoint
-    ]
+    if len(states) < len(entries) or host.registry.lost_primary(
+        watched.service
+    ):
+        # Otherwise the last primary has answered, and its log has what the
+        # replicas that ended have acknowledged.
+        candidates += [
+            Candidate(beat.endpoint, None, draining=True)
+            for beat in promoter.departures.unsettled(watched.service)
+            if beat.endpoint != watched.endpoint
+        ]
     # An endpoint that is not fenced may not know that it was replaced.
     required = states[leader].received if fenced and leader else None
     return Survey(leader, candidates, required)
--- a/chivescale/registry/_registry.py
+++ b/chivescale/registry/_registry.py
@@ -196,6 +196,14 @@
         ]
         return [entry for entry in entries if not entry.heartbeat.gone]
 
+    def lost_primary(self, service: str) -> bool:
+        """Return whether an endpoint is gone that reported to lead."""
+        return any(
+            self.entries[endpoint].heartbeat.gone
+            and self.entries[endpoint].heartbeat.primary
+            for endpoint in self.by_service.get(service, ())
+        )
+
     def deregistered(self, service: str) -> list[EndpointBeat]:
         """Return the endpoints of a service that have announced their end.
 
