Print the names of failed scenarios last

Change: after the known failures, one line for each directory with a failed check names its scenarios.

Result: tried on a feature with one failing and one erroneous scenario; both are listed.

--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -79,6 +79,12 @@
     return Result(name, passed, failed, done.stdout)
 
 
+def failing_scenarios(output: str) -> list[str]:
+    """Return the places that behave lists at its end, "file:line" each."""
+    _, _, listed = output.rpartition("Failing scenarios:")
+    return re.findall(r"^  (\S+:\d+)  ", listed, re.MULTILINE)
+
+
 def run_doctests() -> Result:
     """Run the examples in docstrings of modules that have any."""
     modules = sorted(
@@ -170,6 +176,10 @@
     if KNOWN_RED.exists() and KNOWN_RED.read_text().strip():
         print("known failing, passed over (KNOWN-RED.txt):")
         print(KNOWN_RED.read_text())
+    # Last, because the record of a CI run may keep only the end of its output.
+    for result in results:
+        if result.failed:
+            print(f"not ok: {result.name}", *failing_scenarios(result.output))
     failed = sum(result.failed for result in results)
     passed = sum(result.passed for result in results)
     print(f"{passed} passed, {failed} failed")
