Reserve the ports that tests choose

Cause: a test released a port before it chose the next one, so two servers of a test could get the same port.

Change: tools.processes.free_address keeps the last 256 chosen ports bound, so that neither a later choice nor an outgoing connection gets them. Servers set SO_REUSEADDR and can listen on them.

--- a/chivescale/coordinator/tests/steps/catch_up_steps.py
+++ b/chivescale/coordinator/tests/steps/catch_up_steps.py
@@ -6,10 +6,11 @@
 import shutil
 
 from behave import given, then, when
-from disk_steps import Coordinator, free_address, run, store
+from disk_steps import Coordinator, run, store
 
 from chivescale.clock import now
 from chivescale.errors import is_failure
+from tools.processes import free_address
 
 CHECK_PAUSE_S = 0.1
 # Time until a leader has noticed that a member is gone.
--- a/chivescale/coordinator/tests/steps/disk_steps.py
+++ b/chivescale/coordinator/tests/steps/disk_steps.py
@@ -4,7 +4,6 @@
 import errno
 import os
 import pathlib
-import socket
 import tempfile
 
 import msgspec
@@ -16,17 +15,12 @@
 from chivescale.coordinator import _host as host_module
 from chivescale.errors import ErrorKind, Failure, is_failure
 from chivescale.httpio import HttpClient, HttpServer
+from tools.processes import free_address
 
 START_S = 15.0
 STORE_PAUSE_S = 0.05
 
 
-def free_address() -> str:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
-
-
 def decode_document(document: bytes) -> Catalog | Failure:
     # A document can be made larger by bytes behind this sign.
     content, _, _ = document.partition(b"#")
--- a/chivescale/coordinator/tests/steps/forming_steps.py
+++ b/chivescale/coordinator/tests/steps/forming_steps.py
@@ -5,9 +5,10 @@
 import shutil
 
 from behave import given, then, when
-from disk_steps import Coordinator, create_group, free_address, run
+from disk_steps import Coordinator, create_group, run
 
 from chivescale.clock import now
+from tools.processes import free_address
 
 # A process has written its data directory, and no group has formed.
 ALONE_S = 0.3
--- a/chivescale/coordinator/tests/steps/leaving_steps.py
+++ b/chivescale/coordinator/tests/steps/leaving_steps.py
@@ -6,11 +6,12 @@
 
 import msgspec
 from behave import given, then, when
-from disk_steps import Coordinator, free_address, run, store, votes
+from disk_steps import Coordinator, run, store, votes
 
 from chivescale.agreement import _members, _roster
 from chivescale.clock import now
 from chivescale.errors import is_failure
+from tools.processes import free_address
 
 WATCH_PAUSE_S = 0.01
 STOP_LIMIT_S = 10.0
--- a/chivescale/httpio/tests/steps/httpio_steps.py
+++ b/chivescale/httpio/tests/steps/httpio_steps.py
@@ -1,7 +1,6 @@
 """Steps for the HTTP server and client."""
 
 import asyncio
-import socket
 
 from behave import given, then, when
 
@@ -14,6 +13,7 @@
     HttpServer,
 )
 from chivescale.messages import Empty, ErrorBody, encode
+from tools.processes import free_address
 
 ORDINARY = b"GET / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n"
 INPUTS = {
@@ -29,12 +29,6 @@
 }
 
 
-def free_address() -> str:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
-
-
 async def exchange(address: str, data: bytes) -> bytes:
     host, port = address.split(":")
     reader, writer = await asyncio.open_connection(host, int(port))
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import collections
 import os
 import pathlib
 import signal
@@ -30,6 +31,10 @@
 STOP_TIMEOUT_S = 10.0
 POLL_S = 0.02
 ASK_TIMEOUT_S = 1.0
+# Bounds the open files of a long run of tests.
+RESERVED_PORTS = 256
+
+_reserved_sockets = collections.deque(maxlen=RESERVED_PORTS)
 
 
 class ProcessError(Exception):
@@ -289,6 +294,20 @@
     raise ProcessError("no free loopback addresses")
 
 
+def free_address() -> str:
+    """Return an unused loopback address and keep its port reserved.
+
+    Neither a later call nor an outgoing connection gets the port while it
+    is among the last `RESERVED_PORTS`. A server that sets ``SO_REUSEADDR``,
+    as those of `asyncio` do, can listen on it all the same.
+    """
+    reserved = socket.socket()
+    reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    reserved.bind(("127.0.0.1", 0))
+    _reserved_sockets.append(reserved)
+    return f"127.0.0.1:{reserved.getsockname()[1]}"
+
+
 def _is_free(ip: str) -> bool:
     for port in PORTS:
         with socket.socket() as probe:
