Reserve the block of addresses that a test uses

Cause: free_block took a block for unused if its ports were free at that moment. While the servers of one test are stopped, or not started yet, a test in another process could choose the same block.

Change: a process keeps one port of the block bound until it ends, and a block that another process has reserved is passed over.

--- a/tools/processes.py
+++ b/tools/processes.py
@@ -35,6 +35,7 @@
 RESERVED_PORTS = 256
 
 _reserved_sockets = collections.deque(maxlen=RESERVED_PORTS)
+_reserved_blocks: dict[str, socket.socket] = {}
 
 
 class ProcessError(Exception):
@@ -276,8 +277,8 @@
 def free_block(size: int) -> list[str]:
     """Return loopback addresses whose ports are free.
 
-    The search starts at a place that depends on the process identifier, so
-    that runs at the same time seldom meet.
+    The block stays reserved for this process, which may get it again. The
+    search starts at a place that depends on the process identifier.
 
     Parameters
     ----------
@@ -289,11 +290,28 @@
         number = start + attempt
         prefix = f"127.{64 + (number >> 8) % 128}.{number % 256}"
         addresses = [f"{prefix}.{last + 1}" for last in range(size)]
-        if all(map(_is_free, addresses)):
+        if _reserve_block(prefix) and all(map(_is_free, addresses)):
             return addresses
     raise ProcessError("no free loopback addresses")
 
 
+def _reserve_block(prefix: str) -> bool:
+    """Reserve a block of addresses; False if another process has it.
+
+    Its servers may all be stopped for a moment, so that free ports alone do
+    not show that it is unused.
+    """
+    if prefix not in _reserved_blocks:
+        marker = socket.socket()
+        try:
+            marker.bind((f"{prefix}.251", API_PORT))
+        except OSError:
+            marker.close()
+            return False
+        _reserved_blocks[prefix] = marker
+    return True
+
+
 def free_address() -> str:
     """Return an unused loopback address and keep its port reserved.
 
